Close clients that have sent no whole head within 2.5 s

Suspected before the change: silent peers hold every place for clients. ss showed connections growing to 176 of 176 places and then hundreds waiting in the listener's queue; strace showed 175 of the 176 had never sent a byte. Ruled out: servers (not asked at all, att/r 0.00), quota (98% of refusals had room), counter, CPU, memory, descriptor leaks.

--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -21,8 +21,9 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::time::{sleep, timeout_at, Instant};
 
-/// A client that neither sends a request nor goes holds its connection for so long.
-const HEAD_TIME: Duration = Duration::from_secs(120);
+/// A client that has not sent a whole head by then loses its connection, idle or not. Anyone may connect and
+/// say nothing, and is owed a close within 3 s; a client's idle connection may be closed after 2 s.
+const HEAD_TIME: Duration = Duration::from_millis(2500);
 /// Longest wait that a client may state.
 const REMAINING_MOST_MS: u64 = 3_600_000;
 /// A customer's number stays below this.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -478,6 +478,37 @@
     }
 }
 
+/// Silent peers must not hold the places of clients: here they have taken them all.
+#[test]
+fn peers_that_send_no_whole_head_are_closed_in_time() {
+    let (backend, _) = good();
+    let mut config = calm(&[backend]);
+    config["limits"]["sockets"] = 48.into();
+    let gateway = Gateway::new(&config);
+    let start = Instant::now();
+    let mut silent: Vec<_> = (0..16).map(|_| gateway.open()).collect();
+    silent[1].get_mut().write_all(b"GET /look?account=").unwrap();
+    assert_eq!(gateway.get(1, 1).status(), 200);
+    for peer in &mut silent {
+        // Closed, with or without an error.
+        assert!(peer.read_to_end(&mut Vec::new()).is_ok());
+    }
+    assert!(start.elapsed() < Duration::from_secs(12), "{:?}", start.elapsed());
+}
+
+/// The protocol lets a gateway close a connection only once it has stood idle for 2 s.
+#[test]
+fn an_idle_client_keeps_its_connection_for_two_seconds() {
+    let (backend, _) = good();
+    let gateway = Gateway::new(&calm(&[backend]));
+    let mut open = gateway.open();
+    open.get_mut().write_all(look(1, 1, 3000).as_bytes()).unwrap();
+    let start = Instant::now();
+    assert_eq!(read(&mut open).unwrap().status(), 200);
+    assert!(read(&mut open).is_none());
+    assert!((2.0..12.0).contains(&start.elapsed().as_secs_f64()), "{:?}", start.elapsed());
+}
+
 #[test]
 fn bad_requests_are_the_clients_fault() {
     let (backend, got) = good();
