Answer a request that is never whole within 2.75 s of connecting

Sibling of the head time-out: a body that never came held its place for as long as the peer's X-Remaining-Ms said, an hour at most; the terms owe such a peer an error or a close within 3 s. The new test failed without the change (no answer within 20 s).

--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -24,6 +24,9 @@
 /// A client that has not sent a whole head by then loses its connection, idle or not. Anyone may connect and
 /// say nothing, and is owed a close within 3 s; a client's idle connection may be closed after 2 s.
 const HEAD_TIME: Duration = Duration::from_millis(2500);
+/// And a request must be whole so long after its connection came up, or after its head where others came
+/// before it on the connection: as with the head, an answer is owed within 3 s, whatever wait is stated.
+const WHOLE_TIME: Duration = Duration::from_millis(2750);
 /// Longest wait that a client may state.
 const REMAINING_MOST_MS: u64 = 3_600_000;
 /// A customer's number stays below this.
@@ -133,9 +136,11 @@
 
     async fn connection(self: Rc<Self>, stream: TcpStream, mut close: watch::Receiver<bool>) {
         let _ = stream.set_nodelay(true);
+        let came_up = Cell::new(Some(Instant::now()));
         let service = service_fn(|request| {
             let server = self.clone();
-            async move { Ok::<_, Infallible>(server.reply(request).await) }
+            let whole_by = came_up.take().unwrap_or_else(Instant::now) + WHOLE_TIME;
+            async move { Ok::<_, Infallible>(server.reply(request, whole_by).await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -150,10 +155,10 @@
         let _ = connection.await;
     }
 
-    async fn reply(&self, request: Request<Incoming>) -> Reply {
+    async fn reply(&self, request: Request<Incoming>, whole_by: Instant) -> Reply {
         self.busy.set(self.busy.get() + 1);
         let mut ticket = Ticket { server: self, open: None };
-        let mut reply = match self.answer(request, &mut ticket).await {
+        let mut reply = match self.answer(request, whole_by, &mut ticket).await {
             Ok(reply) => reply,
             Err(fault) => fault.reply(),
         };
@@ -166,7 +171,9 @@
         reply
     }
 
-    async fn answer(&self, request: Request<Incoming>, ticket: &mut Ticket<'_>) -> Result<Reply, Fault> {
+    async fn answer(
+        &self, request: Request<Incoming>, whole_by: Instant, ticket: &mut Ticket<'_>,
+    ) -> Result<Reply, Fault> {
         let at = Instant::now();
         let (parts, body) = request.into_parts();
         match parts.uri.path() {
@@ -181,7 +188,7 @@
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err(Fault::new(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB\n"));
         }
-        let until = at + Duration::from_secs_f64(asked.remaining_ms / 1000.0);
+        let until = whole_by.min(at + Duration::from_secs_f64(asked.remaining_ms / 1000.0));
         let body = match body.size_hint().exact() {
             Some(0) => Bytes::new(),
             _ => match timeout_at(until, Limited::new(body, BODY_MOST).collect()).await {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -496,6 +496,29 @@
     assert!(start.elapsed() < Duration::from_secs(12), "{:?}", start.elapsed());
 }
 
+/// A body that never comes must not hold a place for as long as its sender says it would wait.
+#[test]
+fn a_request_that_is_never_whole_is_answered_in_time() {
+    let (backend, got) = good();
+    let gateway = Gateway::new(&calm(&[backend]));
+    let part = post("once", "", "x").replace("Remaining-Ms: 3000", "Remaining-Ms: 3600000");
+    let part = part.replace("Content-Length: 1", "Content-Length: 9");
+    let mut fresh = gateway.open();
+    let mut kept = gateway.open();
+    kept.get_mut().write_all(look(1, 1, 3000).as_bytes()).unwrap();
+    assert_eq!(read(&mut kept).unwrap().status(), 200);
+    let start = Instant::now();
+    for open in [&mut fresh, &mut kept] {
+        open.get_mut().write_all(part.as_bytes()).unwrap();
+    }
+    for open in [&mut fresh, &mut kept] {
+        assert_eq!(read(open).expect("an answer").status(), 408);
+        assert!(open.read_to_end(&mut Vec::new()).is_ok(), "the connection is closed");
+    }
+    assert!(start.elapsed() < Duration::from_secs(12), "{:?}", start.elapsed());
+    assert_eq!(got.lock().unwrap().len(), 1);
+}
+
 /// The protocol lets a gateway close a connection only once it has stood idle for 2 s.
 #[test]
 fn an_idle_client_keeps_its_connection_for_two_seconds() {
