Weigh a broken connection as half a failure of its server

A dead server shows itself by the next connection, which it refuses: two of those leave it out as before, as do four resets in a row.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -64,8 +64,10 @@
 const SILENT_TIMES: f64 = 3.0;
 /// Chance added to a backend's cost, in usual times: gateways that know equally little choose differently.
 const JITTER: f64 = 0.05;
-/// Failures in a row after which a backend is left out.
-const EJECT_AFTER: u32 = 2;
+/// Points of failures in a row after which a backend is left out.
+const EJECT_AFTER: u32 = 4;
+/// Points of a failure, and of a reset: the path breaks connections too, and a dead backend refuses the next.
+const POINTS: (u32, u32) = (2, 1);
 /// First time out of use, in ms; doubles with each failed trial up to 32 times.
 const EJECT_MS: f64 = 500.0;
 /// An attempt that can earn nothing past its aim ends so long before it, in ms, and two ticks.
@@ -779,9 +781,10 @@
             // Cut at its aim though the backend answered others meanwhile: the request was costly.
             Result::Timeout if b.heard > now - o.took_ms => {}
             Result::Error | Result::Timeout | Result::ConnectFailed | Result::Reset => {
-                b.failures = b.failures.saturating_add(1);
+                let points = if o.result == Result::Reset { POINTS.1 } else { POINTS.0 };
+                b.failures = b.failures.saturating_add(points);
                 if b.failures >= EJECT_AFTER {
-                    let times = f64::from(1u32 << (b.failures - EJECT_AFTER).min(5));
+                    let times = f64::from(1u32 << ((b.failures - EJECT_AFTER) / POINTS.0).min(5));
                     b.out_until = now + EJECT_MS * times * (1.0 + 0.2 * self.rng.f64());
                 }
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,6 +80,7 @@
     pub(crate) learned: Millis,
     /// Last sign of life with work out.
     pub(crate) heard: Millis,
+    /// Points of its failures in a row.
     pub(crate) failures: u32,
     /// Left out until then; a trial request follows.
     pub(crate) out_until: Millis,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -95,6 +95,28 @@
     assert!(to_cold <= 9, "{to_cold} of 100 to a backend at a quarter of its capacity");
 }
 
+/// Of 100 unsafe requests in 400 ms, those sent to backend 1, which serves ten and then breaks connections.
+fn sent_to_one_that_breaks(breaks: usize) -> usize {
+    let mut rig = Rig::new(open_settings());
+    let mut to_one = 0;
+    for id in 1..=100 {
+        rig.now += 4.0;
+        let backend = sent(&rig.request(id, 2, 1.0)).unwrap();
+        to_one += usize::from(backend == 1);
+        let broken = backend == 1 && (11..=10 + breaks).contains(&to_one);
+        rig.outcome(id, 0, backend, if broken { Result::Reset } else { Result::Ok }, None);
+    }
+    to_one
+}
+
+#[test]
+fn a_backend_is_not_left_out_for_two_broken_connections_but_for_a_few() {
+    let well = sent_to_one_that_breaks(0);
+    let twice = sent_to_one_that_breaks(2);
+    assert!(twice * 2 >= well, "{twice} of {well} though it serves");
+    assert!(sent_to_one_that_breaks(100) <= 15);
+}
+
 fn ceiling_settings() -> Settings {
     let mut s = open_settings();
     s.plans[0].ceiling_rate = 4.0;
