Send nobody beyond the quota while one inside it finds no room

The two limits lie side by side, 0.35 of the aim beyond and 0.36 inside, so under pressure both kinds shared the room.

For 1.5 s, the time over which flow is averaged, after a refusal for want of room inside a quota, nobody is sent on beyond one. The limits stay.

The new test failed without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -87,6 +87,8 @@
 const LOOK_MS: f64 = 100.0;
 /// Sent beyond the quota where that pays and the expected time stays within this share of the aim.
 const ROOM_OF_AIM: f64 = 0.35;
+/// After a refusal for want of room nobody is sent beyond the quota for so long, in ms.
+const CROWDED_MS: f64 = FLOW_MS;
 /// Housekeeping period, in ms.
 const TICK_MS: f64 = 1000.0;
 
@@ -121,6 +123,8 @@
     /// Share of its aim that an answer takes, averaged over answers.
     late: f64,
     flow_at: Millis,
+    /// When a request inside its quota was last refused for want of room.
+    crowded_at: Millis,
     /// Mean units of a request.
     units: f64,
     /// Usual time of each class on an idle backend of usual pace, and answers seen.
@@ -155,6 +159,7 @@
             served: 0.0,
             late: USUAL_OF_AIM,
             flow_at: now,
+            crowded_at: f64::NEG_INFINITY,
             units: 1.0,
             usual,
             retries: RETRY_MOST,
@@ -247,6 +252,7 @@
             return self.beyond(now, id, actions);
         }
         if self.expected(now, id) > EARLY_OF_AIM * aim.max(0.0) {
+            self.crowded_at = now;
             return self.finish(id, self.usual[class].0, actions);
         }
         if self.settings.counter.is_none() || plan.rate <= 0.0 {
@@ -522,7 +528,9 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let plan = &self.settings.plans[open.request.plan as usize];
         let aim = self.settings.classes[open.request.class as usize].aim_ms;
-        if plan.extra_worth > plan.excess_cost && expected < ROOM_OF_AIM * aim {
+        // Never while those inside their quotas find no room: they come first.
+        let room = expected < ROOM_OF_AIM * aim && now - self.crowded_at > CROWDED_MS;
+        if plan.extra_worth > plan.excess_cost && room {
             open.inside = false;
             return self.send(now, id, actions);
         }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -162,6 +162,46 @@
     assert!(last * 10 >= well * 9, "{last} calls of {well}");
 }
 
+#[test]
+fn nobody_is_sent_beyond_the_quota_while_one_inside_it_finds_no_room() {
+    let mut s = settings();
+    // A quota of two units, beyond which a request still earns something; and one that is never used up.
+    s.counter = None;
+    s.plans[0] = Plan { rate: 0.1, burst: 2.0, price: 1.0, extra_worth: 0.3, ..Plan::default() };
+    s.plans.push(Plan { rate: 1000.0, burst: 1000.0, price: 1.0, ..Plan::default() });
+    let mut rig = Rig::new(s);
+    let inside = |id| Event::Request(Request { plan: 1, ..request(id, 8) });
+    let beyond = |id| Event::Request(Request { units: 3.0, ..request(id, 7) });
+    let mut out = Vec::new();
+    for id in 1..=8 {
+        out.push((id, sent(&rig.event(inside(id))).expect("room at first")));
+    }
+    assert!(sent(&rig.event(beyond(100))).is_some(), "room for it too");
+    // An answer takes nearly the whole aim: the next one inside its quota is refused.
+    rig.now += 450.0;
+    let end = |rig: &mut Rig, (id, backend), took_ms| {
+        let (result, units, load) = (Result::Ok, None, Load::default());
+        let outcome = Outcome { id, attempt: 0, backend, result, ended: true, units, took_ms, load };
+        rig.event(Event::Outcome(outcome));
+    };
+    end(&mut rig, out.remove(0), 450.0);
+    assert!(refused(&rig.event(inside(9))).is_some(), "no room");
+    // Quick answers: there would be room, but those inside come first.
+    for id in 10..40 {
+        rig.now += 1.0;
+        if let Some(backend) = sent(&rig.event(inside(id))) {
+            rig.now += 1.0;
+            end(&mut rig, (id, backend), 1.0);
+        } else {
+            end(&mut rig, out.pop().unwrap(), 1.0);
+        }
+    }
+    assert!(sent(&rig.event(inside(50))).is_some());
+    assert!(refused(&rig.event(beyond(101))).is_some());
+    rig.now += 2000.0;
+    assert!(sent(&rig.event(beyond(102))).is_some(), "room again");
+}
+
 /// A gateway of a hundred whose counter has no room, and the question it puts to a customer's home.
 fn asking() -> (Rig, u64, u32, Vec<u8>) {
     let mut s = settings();
