--- a/src/choice.rs
+++ b/src/choice.rs
@@ -94,6 +94,8 @@
 const ROOM_OF_AIM: f64 = 0.35;
 /// After a refusal for want of room nobody is sent beyond the quota for so long, in ms.
 const CROWDED_MS: f64 = FLOW_MS;
+/// Refusals are summed up in a line of the log after so many housekeeping periods.
+const TELL_TICKS: u32 = 10;
 /// Housekeeping period, in ms.
 const TICK_MS: f64 = 1000.0;
 
@@ -116,11 +118,12 @@
     /// Slow or failed calls to the counter in a row.
     misses: u32,
     /// Calls a second that the counter bears from this gateway, those saved up and when reckoned; the pace
-    /// before the last misses, unless there were none yet.
+    /// before the last misses cut it, unless none did yet, and whether some did since the last good answer.
     calls_pace: f64,
     calls_saved: f64,
     calls_at: Millis,
     calls_once: Option<f64>,
+    calls_cut: bool,
     /// Least time that the counter took to answer, in ms, and when that was reckoned.
     way: (f64, Millis),
     /// Attempts out, their average, and answers a second, averaged alike.
@@ -141,6 +144,18 @@
     rate: f64,
     rate_at: Millis,
     list_retry: Option<Millis>,
+    told: Told,
+}
+
+/// What the next line of the log sums up.
+#[derive(Default)]
+struct Told {
+    ticks: u32,
+    requests: u32,
+    /// Refused for want of room, beyond the quota, and with no attempt left or allowed.
+    crowded: u32,
+    beyond: u32,
+    unsent: u32,
 }
 
 impl Gateway {
@@ -161,6 +176,7 @@
             calls_saved: CALLS.0,
             calls_at: now,
             calls_once: None,
+            calls_cut: false,
             way: (f64::INFINITY, now),
             out: 0.0,
             out_mean: 0.0,
@@ -174,6 +190,7 @@
             rate: 0.0,
             rate_at: now,
             list_retry: None,
+            told: Told::default(),
         }
     }
 
@@ -214,6 +231,20 @@
         if self.list_retry.take_if(|at| *at <= now).is_some() {
             actions.push(Action::Watch);
         }
+        self.told.ticks += 1;
+        if self.told.ticks >= TELL_TICKS {
+            let told = std::mem::take(&mut self.told);
+            let Told { requests, crowded, beyond, unsent, .. } = told;
+            if crowded + beyond + unsent > 0 {
+                let calls = self.calls_pace;
+                let left_out = self.ready().filter(|b| now < b.out_until).count();
+                let line = format!(
+                    "{requests} requests: {crowded} found no room, {beyond} were beyond the quota, {unsent} \
+                     could not be sent (on); {left_out} servers left out, counter calls at {calls:.0}/s"
+                );
+                actions.push(Action::Log { line });
+            }
+        }
         let longest = self.settings.plans.iter().filter(|p| p.ceiling_rate > 0.0);
         let longest = longest.map(|p| p.ceiling_burst / p.ceiling_rate * 1000.0).fold(IDLE_MS, f64::max);
         self.customers.retain(|_, c| c.calls > 0 || c.out > 0 || c.waiting > 0.0 || now - c.last < longest);
@@ -226,6 +257,7 @@
         if self.requests.contains_key(&id) {
             return;
         }
+        self.told.requests += 1;
         let sane = |x: f64| if x.is_finite() { x.max(0.0) } else { 0.0 };
         (request.units, request.budget_ms) = (sane(request.units), sane(request.budget_ms));
         let (class, plan_no) = (request.class as usize, request.plan as usize);
@@ -261,6 +293,7 @@
         }
         if self.expected(now, id) > EARLY_OF_AIM * aim.max(0.0) {
             self.crowded_at = now;
+            self.told.crowded += 1;
             return self.finish(id, self.usual[class].0, actions);
         }
         if self.settings.counter.is_none() || plan.rate <= 0.0 {
@@ -432,16 +465,18 @@
             if let Some(once) = self.calls_once.filter(|_| self.misses >= COUNTER_MISSES) {
                 self.calls_pace = self.calls_pace.max(once / 2.0);
             }
-            self.misses = 0;
+            (self.misses, self.calls_cut) = (0, false);
             let share = if self.calls_once.is_none() { CALLS_MORE.2 } else { CALLS_MORE.1 };
             self.calls_pace = (self.calls_pace * (1.0 + share) + CALLS_MORE.0).min(CALLS_MOST);
         } else {
-            if self.misses == 0 {
-                self.calls_once = Some(self.calls_pace);
-            }
             self.misses = self.misses.saturating_add(1);
-            // A connection that broke says nothing of how many calls the counter bears.
-            if result != Result::Reset {
+            // A connection that broke says nothing of how many calls the counter bears, nor does one slow
+            // answer among quick ones.
+            let chance = result == Result::Reset || ok && self.misses == 1;
+            if !chance {
+                if !std::mem::replace(&mut self.calls_cut, true) {
+                    self.calls_once = Some(self.calls_pace);
+                }
                 self.calls_pace = (self.calls_pace * CALLS_CUT).max(CALLS.1);
             }
         }
@@ -552,6 +587,7 @@
             open.inside = false;
             return self.send(now, id, actions);
         }
+        self.told.beyond += 1;
         let c = &self.customers[&open.request.customer];
         let short = open.request.units.min(plan.burst) - c.store;
         let wait = if plan.rate > 0.0 { (short / plan.rate * 500.0).max(0.0) } else { aim };
@@ -696,6 +732,7 @@
                 }
             }
             if !open.attempts.iter().any(|a| a.live) {
+                self.told.unsent += 1;
                 self.finish(id, class.aim_ms / 2.0, actions);
             }
             return;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -30,6 +30,24 @@
     assert!(count(&rig.request(3, 0, 3.0)).is_some(), "room again");
 }
 
+#[test]
+fn refusals_are_summed_up_in_the_log_now_and_then() {
+    let mut rig = Rig::new(settings());
+    rig.event(Event::List { full: true, entries: vec![] });
+    let mut lines = Vec::new();
+    for id in 1..=25 {
+        rig.now += 1000.0;
+        let mut actions = rig.request(id, 0, 1.0);
+        actions.extend(rig.event(Event::Timer { token: 0 }));
+        lines.extend(actions.into_iter().filter_map(|a| match a {
+            Action::Log { line } => Some(line),
+            _ => None,
+        }));
+    }
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(lines.iter().all(|l| l.starts_with("10 requests: 10 found no room, 0 were beyond")), "{lines:?}");
+}
+
 #[test]
 fn one_total_tells_the_store_to_a_gateway_that_never_looked_before() {
     // Found at size: over a long window a calm past was taken for room, and half the use was beyond quota.
@@ -173,6 +191,25 @@
     assert!(calls <= Some(10), "{calls:?} calls of 100");
 }
 
+#[test]
+fn one_slow_answer_in_ten_does_not_slow_the_calls() {
+    let mut rig = Rig::new(settings());
+    let mut calls = 0;
+    for second in 1..=8 {
+        calls = 0;
+        for id in second * 1000..second * 1000 + 100 {
+            rig.now += 10.0;
+            let actions = rig.event(Event::Request(request(id, id)));
+            if let Some((name, total)) = count(&actions) {
+                calls += 1;
+                let took_ms = if id % 10 == 0 { 40.0 } else { 2.0 };
+                rig.event(Event::Counted { name, result: Result::Ok, total, took_ms });
+            }
+        }
+    }
+    assert!(calls >= 90, "{calls} calls of 100");
+}
+
 #[test]
 fn connections_that_break_do_not_slow_the_calls() {
     let mut rig = Rig::new(settings());
