Don't take a few more attempts out than usual for a queue

The log's new line gave the reason: of 6,000 requests in 10 s 743 found no room. The expected time there is the number out now over answers a second; with 4 or 5 out in the mean, 7 out by chance passed the limit of 54 ms. Ruled out: quota (counter asked or not, the same), servers, late answers.

The number out must pass its mean by two spreads (the square root of the mean) to count in full; the mean itself counts as before, so a lasting queue is refused at the same limit, and large gateways see no difference.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -88,6 +88,8 @@
 const ALWAYS: f64 = 3.0;
 /// A request is refused early if its expected time passes this share of what is left of its aim.
 const EARLY_OF_AIM: f64 = 0.36;
+/// Spreads by which the number out must pass its mean to tell of a queue.
+const CHANCE: f64 = 2.0;
 /// Least time between two looks at a count for requests refused without a charge, in ms.
 const LOOK_MS: f64 = 100.0;
 /// Sent beyond the quota where that pays and the expected time stays within this share of the aim.
@@ -672,7 +674,10 @@
         if self.out < (ready * ALWAYS / f64::from(self.settings.gateways.max(1))).max(1.0) {
             return 0.0;
         }
-        let wait = self.out.min(self.out_mean * 2.0) / self.served * 1000.0;
+        // With few out their number swings by chance: what may be that tells of no queue.
+        let sure = self.out - CHANCE * self.out_mean.sqrt();
+        let out = self.out.min(sure.clamp(self.out_mean, self.out_mean * 2.0));
+        let wait = out / self.served * 1000.0;
         let wait = Some(wait).filter(|wait| wait.is_finite()).unwrap_or(usual);
         // Few answers tell chance, and one that hangs would tell most: there each counts by its share of the
         // aim, the whole of it at most.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -48,6 +48,34 @@
     assert!(lines.iter().all(|l| l.starts_with("10 requests: 10 found no room, 0 were beyond")), "{lines:?}");
 }
 
+#[test]
+fn a_few_more_out_by_chance_are_no_queue() {
+    let mut s = settings();
+    s.counter = None;
+    s.classes[0].aim_ms = 200.0;
+    s.plans[0] = Plan { rate: 1e6, burst: 1e6, price: 1.0, ..Plan::default() };
+    let mut rig = Rig::new(s);
+    // 100 requests a second of 50 ms each, so five out in the mean: a quarter of the aim.
+    let mut out = std::collections::VecDeque::new();
+    let mut id = 0;
+    for _ in 0..400 {
+        rig.now += 10.0;
+        id += 1;
+        if let Some(backend) = sent(&rig.event(Event::Request(request(id, id)))) {
+            out.push_back((id, backend));
+        }
+        if out.len() > 4 {
+            let (id, backend) = out.pop_front().unwrap();
+            rig.outcome(id, 0, backend, Result::Ok, None);
+        }
+    }
+    // Six more at once are chance, twenty are a queue.
+    let at_once =
+        (id + 1..=id + 20).filter(|id| sent(&rig.event(Event::Request(request(*id, *id)))).is_some());
+    let let_in = at_once.count();
+    assert!((6..=15).contains(&let_in), "{let_in} of 20 let in");
+}
+
 #[test]
 fn one_total_tells_the_store_to_a_gateway_that_never_looked_before() {
     // Found at size: over a long window a calm past was taken for room, and half the use was beyond quota.
