Leave a counter connection that told no number

It was used on, so what came next on it could be taken for the answers of later calls, and the call counted as a miss that slowed the calls. It is now closed and told as a reset. The new test failed without the change.

--- a/src/bin/heronstage/counter.rs
+++ b/src/bin/heronstage/counter.rs
@@ -176,7 +176,8 @@
                     if !pending.given_up {
                         self.tell(&pending.call, ended, total);
                     }
-                    if !head.keep {
+                    // A total that can't be read leaves the connection of no further use.
+                    if !head.keep || ended == Ended::Reset {
                         return (written, Ended::Reset);
                     }
                 }
@@ -208,7 +209,7 @@
             Ok(total) if f64::is_finite(total) => (Ended::Ok, total / SCALE),
             _ => {
                 seldom.warn("the counter's total is no number", String::from_utf8_lossy(body));
-                (Ended::Timeout, 0.0)
+                (Ended::Reset, 0.0)
             }
         },
         503 | 400 | 404 => (Ended::Full, 0.0),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -475,6 +475,35 @@
     }
 }
 
+/// The terms: such a connection is of no further use, though the amount was added.
+#[test]
+fn a_counter_connection_that_told_no_number_is_left() {
+    let (backend, _) = good();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (ended_to, ended) = channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, ended_to) = (stream.unwrap(), ended_to.clone());
+            std::thread::spawn(move || {
+                let mut from = BufReader::new(stream.try_clone().unwrap());
+                let mut calls = 0;
+                while read(&mut from).is_some() {
+                    calls += 1;
+                    let _ = stream.write_all(say(200, "", "many").as_bytes());
+                }
+                let _ = ended_to.send(calls);
+            });
+        }
+    });
+    let gateway = Gateway::new(&config(&[backend], addr, serve(|_| Play::Hush(channel().0))));
+    for customer in 0..2 {
+        assert_eq!(gateway.get(customer, 1).status(), 200);
+        let calls = ended.recv_timeout(Duration::from_secs(2)).expect("the connection is ended at once");
+        assert_eq!(calls, 1);
+    }
+}
+
 #[test]
 fn a_drain_is_kept_and_broken_lists_change_nothing() {
     let ((one, got_one), (two, _)) = (good(), good());
