Learn how long an idle connection to the counter may still be used

The four connections now share a learned limit as those to servers do; a call that finds its connection past the limit goes on a new one.

--- a/src/bin/heronstage/counter.rs
+++ b/src/bin/heronstage/counter.rs
@@ -3,6 +3,7 @@
 use crate::config::{moved, Places};
 use crate::driver::Driver;
 use crate::http::Reader;
+use crate::idle::IdleLimit;
 use crate::seldom::Seldom;
 use bytes::{Buf, BytesMut};
 use cherrytally::Result as Ended;
@@ -20,7 +21,8 @@
 /// Connections to the counter. A name keeps to one of them, so that its calls stay in order; a silence on
 /// one leaves the others alone.
 const LANES: usize = 4;
-/// A connection idle for so long is closed before the counter does it: a call that crosses may be lost.
+/// A connection idle for so long, or for longer than others bore, is closed before the counter does it: a call
+/// that crosses may be lost.
 const IDLE: Duration = Duration::from_secs(4);
 /// Largest answer of the counter.
 const ANSWER_MOST: usize = 1024;
@@ -64,9 +66,11 @@
     ends: LaneEnds, addr: SocketAddr, places: &Receiver<Places>, timeout_ms: f64, driver: &Rc<Driver>,
 ) {
     let patience = Duration::from_secs_f64(timeout_ms / 1000.0);
+    let idle_limit = Rc::new(IdleLimit::new(IDLE));
     for calls in ends {
-        let (places, driver) = (places.clone(), driver.clone());
-        let lane = Lane { addr, places, patience, driver, calls, seldom: Seldom::default() };
+        let (places, driver, idle_limit) = (places.clone(), driver.clone(), idle_limit.clone());
+        let (next, seldom) = (None, Seldom::default());
+        let lane = Lane { addr, places, patience, driver, calls, next, idle_limit, seldom };
         tokio::task::spawn_local(lane.run());
     }
 }
@@ -77,6 +81,9 @@
     patience: Duration,
     driver: Rc<Driver>,
     calls: UnboundedReceiver<Call>,
+    /// A call taken in that needs a new connection.
+    next: Option<Call>,
+    idle_limit: Rc<IdleLimit>,
     seldom: Seldom,
 }
 
@@ -90,7 +97,14 @@
 
 impl Lane {
     async fn run(mut self) {
-        while let Some(first) = self.calls.recv().await {
+        loop {
+            let first = match self.next.take() {
+                Some(call) => call,
+                None => match self.calls.recv().await {
+                    Some(call) => call,
+                    None => return,
+                },
+            };
             // A configuration that names no counter any more leaves the calls where they went.
             self.addr = self.places.borrow().counter.unwrap_or(self.addr);
             match timeout(self.patience, TcpStream::connect(self.addr)).await {
@@ -142,7 +156,7 @@
             waiting.push_back(Pending { call, end: queued, given_up: false });
         };
         enter(first, &mut out, waiting);
-        let mut heard = Instant::now();
+        let (mut heard, mut answered) = (Instant::now(), false);
         loop {
             // After a move what was asked here is still awaited; what comes next goes to the new address.
             if left && waiting.iter().all(|p| p.given_up) {
@@ -154,10 +168,15 @@
             // The next call to be given up; with none, the wait for late answers or for new calls.
             let due = waiting.iter().find(|p| !p.given_up).map(|p| p.call.at + self.patience);
             let silent = waiting.front().map(|p| p.call.at.max(heard) + 2 * self.patience);
-            let wake = due.into_iter().chain(silent).min().unwrap_or(heard + IDLE);
+            let idle_limit = self.idle_limit.get();
+            let wake = due.into_iter().chain(silent).min().unwrap_or(heard + idle_limit);
             tokio::select! {
                 () = moved(&mut self.places, |p| p.counter.is_some_and(|to| to != host)), if !left => left = true,
                 call = self.calls.recv(), if !left => match call {
+                    Some(call) if waiting.is_empty() && heard.elapsed() >= self.idle_limit.get() => {
+                        self.next = Some(call);
+                        return (written, Ended::Timeout);
+                    }
                     Some(call) => enter(call, &mut out, waiting),
                     None => return (written, Ended::Timeout),
                 },
@@ -169,8 +188,13 @@
                     _ => return (written, Ended::Reset),
                 },
                 answer = reader.answer(ANSWER_MOST) => {
-                    heard = Instant::now();
-                    let Ok((head, body)) = answer else { return (written, Ended::Reset) };
+                    let Ok((head, body)) = answer else {
+                        if let Some(first) = waiting.front().filter(|_| answered) {
+                            self.idle_limit.broke_after(first.call.at.saturating_duration_since(heard));
+                        }
+                        return (written, Ended::Reset);
+                    };
+                    (heard, answered) = (Instant::now(), true);
                     let Some(pending) = waiting.pop_front() else { return (written, Ended::Reset) };
                     let (ended, total) = reading(head.status, &body, &self.seldom);
                     if !pending.given_up {
@@ -191,7 +215,7 @@
                         self.tell(&pending.call, Ended::Timeout, 0.0);
                     }
                     // Guards against a machine that vanished: its connections stay open and silent.
-                    if silent.is_some_and(|at| at <= now) || waiting.is_empty() && heard + IDLE <= now {
+                    if silent.is_some_and(|at| at <= now) || waiting.is_empty() && heard + idle_limit <= now {
                         return (written, Ended::Timeout);
                     }
                 }
--- a/src/bin/heronstage/idle.rs
+++ b/src/bin/heronstage/idle.rs
@@ -31,8 +31,12 @@
         Duration::from_secs_f64(grown.min(self.most.as_secs_f64()))
     }
 
-    /// A connection that had stood idle for so long broke when it was used again: half of that is safer.
+    /// A connection that had stood idle for so long broke when it was used again: half of that is safer. One
+    /// that was as good as in use tells nothing of idle ones.
     pub fn broke_after(&self, idle: Duration) {
+        if idle < LEAST {
+            return;
+        }
         self.limit.set(self.get().min((idle / 2).max(LEAST)));
         self.at.set(Instant::now());
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -461,6 +461,20 @@
     assert!(*resets.lock().unwrap() >= 1, "the first idle connection is used");
 }
 
+#[test]
+fn idle_connections_to_the_counter_that_break_are_soon_used_no_more() {
+    let resets = Arc::default();
+    let counter = forgets_idle_connections(Arc::clone(&resets), |_| say(200, "", "0.0"));
+    let (backend, _) = good();
+    let gateway = Gateway::new(&config(&[backend], counter, serve(|_| Play::Hush(channel().0))));
+    for customer in 0..32 {
+        assert_eq!(gateway.get(customer, 1).status(), 200);
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    let resets = *resets.lock().unwrap();
+    assert!((1..=6).contains(&resets), "{resets} resets");
+}
+
 #[test]
 fn requests_pass_while_the_counter_is_silent_broken_or_gone() {
     let (backend, _) = good();
