Add the operator port: health, quiesce and resume, one drain for calls and SIGTERM

Operators call at an address of their own (`operator`, `RELAY_OPERATOR`), with 16 places and their descriptors set aside, silent callers closed after 1 s. A drain makes the gateway unready, asks clients to go with each answer and closes connections between requests 1.75 s on, so that whatever came before is 2 s old or done when the operators look 4 s after the call. SIGTERM goes the same way and can't be undone; it keeps its 0.6 s.

Not taken: `quiesce` that closes idle connections at once. Clients that use one at that moment would have to send again; by 1.75 s nearly all have been asked to go by an answer.

Tests: the four at the end of tests/gateway.rs; without the change nothing listens there and all four fail.

--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -23,6 +23,8 @@
 /// All that a gateway is told when it starts.
 pub struct Config {
     pub listen: SocketAddr,
+    /// Where operators call, if they do.
+    pub operator: Option<SocketAddr>,
     pub places: Places,
     pub seed: u64,
     pub sockets: usize,
@@ -81,6 +83,7 @@
 #[derive(Deserialize)]
 struct File {
     listen: SocketAddr,
+    operator: Option<SocketAddr>,
     discovery: SocketAddr,
     seed: String,
     limits: Machine,
@@ -217,7 +220,12 @@
 pub fn load() -> Result<Config, String> {
     let path = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_owned())?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG {path}: {e}"))?;
-    parse(&text)
+    let mut config = parse(&text)?;
+    // Two processes may run by one file: what each is told by itself comes first.
+    if let Ok(at) = std::env::var("RELAY_OPERATOR") {
+        config.operator = Some(at.parse().map_err(|e| format!("RELAY_OPERATOR {at}: {e}"))?);
+    }
+    Ok(config)
 }
 
 /// Reads the configuration's text; an error is one line that names the field.
@@ -304,6 +312,7 @@
     };
     Ok(Config {
         listen: file.listen,
+        operator: file.operator,
         places: Places { discovery: file.discovery, counter: file.counter },
         seed,
         sockets: file.limits.sockets,
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -7,6 +7,7 @@
 mod driver;
 mod http;
 mod idle;
+mod operator;
 mod peers;
 mod seldom;
 mod server;
@@ -15,6 +16,7 @@
 use config::{Config, Places};
 use driver::{Driver, Names};
 use server::Server;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -22,7 +24,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Semaphore};
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 /// Descriptors kept for all but clients and backends: log, signals, counter, discovery, peers, listener.
 const RESERVED: usize = 32;
@@ -30,8 +32,10 @@
 const BACKLOG: u32 = 1024;
 /// After SIGTERM new clients are taken in for so long: the front may not have noticed yet.
 const ACCEPT_ON: Duration = Duration::from_millis(600);
-/// What is open is answered by then after SIGTERM.
-const ANSWERED: Duration = Duration::from_millis(2400);
+/// What is open is answered so long after SIGTERM, or after the longest deadline where that is longer: the
+/// platform kills 0.7 s after it.
+const ANSWERED: Duration = Duration::from_millis(3300);
+const ANSWERED_AFTER_DEADLINE_MS: f64 = 300.0;
 /// And the last answers are written by so much later.
 const WRITTEN: Duration = Duration::from_millis(150);
 
@@ -54,7 +58,11 @@
 async fn run(config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let listener = listen(&config).map_err(|e| format!("listen {}: {e}", config.listen))?;
+    let listener = listen(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
+    let operator = match config.operator {
+        Some(at) => Some(listen(at).map_err(|e| format!("operator {at}: {e}"))?),
+        None => None,
+    };
     let peers = match config.peer_listen.filter(|_| config.settings.limits.peers) {
         Some(at) => {
             let peers = peers::Peers::bind(at, config.peers, config.peers_all).await;
@@ -62,7 +70,8 @@
         }
         None => None,
     };
-    let places = config.sockets.saturating_sub(RESERVED) / 2;
+    let reserved = RESERVED + operator.as_ref().map_or(0, |_| operator::PLACES + 1);
+    let places = config.sockets.saturating_sub(reserved).max(2) / 2;
     let backends = Backends::new(places, config.connect_ms, config.idle_ms);
     let counter = config.settings.counter.and_then(|c| Some((c.timeout_ms, config.places.counter?)));
     let (moves, places_now) = watch::channel(config.places);
@@ -92,18 +101,23 @@
     });
     let free = Arc::new(Semaphore::new(places));
     let server = Server::new(driver.clone(), &settings, config.classes, config.plans, free.clone());
-    let (close, closing) = watch::channel(false);
     tracing::info!("listening on {}", listener.local_addr().map_err(|e| e.to_string())?);
-    let accept = tokio::task::spawn_local(server.clone().accept(listener, closing));
+    let accept = tokio::task::spawn_local(server.clone().accept(listener));
+    if let Some(operator) = operator {
+        tracing::info!("operators call at {}", operator.local_addr().map_err(|e| e.to_string())?);
+        tokio::task::spawn_local(operator::run(operator, server.clone()));
+    }
 
     term.recv().await;
-    let at = Instant::now();
-    server.drain();
+    let longest = settings.classes.iter().map(|c| c.deadline_ms + ANSWERED_AFTER_DEADLINE_MS);
+    let longest = Duration::from_secs_f64(longest.fold(0.0, f64::max) / 1000.0);
+    let by = Instant::now() + longest.max(ANSWERED);
+    // From then on connections end between requests; those that are answering end after it.
+    let closes = server.end(ACCEPT_ON);
     sleep(ACCEPT_ON).await;
     accept.abort();
-    // Tells the connections to end between requests; those that are answering end after it.
-    let _ = close.send(true);
-    while server.busy() && at.elapsed() < ANSWERED {
+    sleep_until(closes).await;
+    while server.busy() && Instant::now() < by {
         sleep(Duration::from_millis(5)).await;
     }
     driver.leave_all();
@@ -126,10 +140,10 @@
     }
 }
 
-fn listen(config: &Config) -> std::io::Result<TcpListener> {
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // A restart finds the address free, though connections of the former process linger.
     socket.set_reuseaddr(true)?;
-    socket.bind(config.listen)?;
+    socket.bind(at)?;
     socket.listen(BACKLOG)
 }
--- /dev/null
+++ b/src/bin/heronstage/operator.rs
@@ -0,0 +1,91 @@
+//! Operators: their own address, where each connection carries one call.
+
+use crate::seldom::Seldom;
+use crate::server::Server;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
+
+/// Callers at once. Their descriptors are kept for them, so that busy clients can't take them.
+pub const PLACES: usize = 16;
+/// A caller waits for 1 s; one that has not asked whole by then holds a place for nothing.
+const HEAD_TIME: Duration = Duration::from_secs(1);
+/// And one that does not take its answer is left.
+const CALL_TIME: Duration = Duration::from_secs(2);
+
+/// Answers operators for as long as the program runs.
+pub async fn run(listener: TcpListener, server: Rc<Server>) {
+    let (places, seldom) = (Arc::new(Semaphore::new(PLACES)), Seldom::default());
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let server = server.clone();
+                tokio::task::spawn_local(async move {
+                    // A caller that breaks off or says nothing is its own affair.
+                    let _ = timeout(CALL_TIME, call(stream, &server)).await;
+                    drop(place);
+                });
+            }
+            Err(e) => {
+                seldom.warn("accept an operator", e);
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn call(stream: TcpStream, server: &Rc<Server>) -> hyper::Result<()> {
+    let service = service_fn(|request| {
+        let reply = answer(&request, server);
+        async move { Ok::<_, Infallible>(reply) }
+    });
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(stream), service)
+        .await
+}
+
+fn answer(request: &Request<Incoming>, server: &Rc<Server>) -> Response<Full<Bytes>> {
+    let allowed = match request.uri().path() {
+        "/admin/health" => Method::GET,
+        "/admin/quiesce" | "/admin/resume" => Method::POST,
+        _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
+    };
+    if *request.method() != allowed {
+        let mut reply = text(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n");
+        reply.headers_mut().extend(HeaderValue::try_from(allowed.as_str()).ok().map(|allow| (ALLOW, allow)));
+        return reply;
+    }
+    match request.uri().path() {
+        "/admin/quiesce" => {
+            server.drain();
+            text(StatusCode::OK, "draining\n")
+        }
+        "/admin/resume" if server.resume() => text(StatusCode::OK, "taking clients\n"),
+        "/admin/resume" => text(StatusCode::CONFLICT, "ending after SIGTERM\n"),
+        _ if server.ready() => text(StatusCode::OK, "ready\n"),
+        _ => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    }
+}
+
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut reply = Response::new(Full::new(body.into()));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    reply
+}
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 /// A client that has not sent a whole head by then loses its connection, idle or not. Anyone may connect and
 /// say nothing, and is owed a close within 3 s; a client's idle connection may be closed after 2 s.
@@ -27,6 +27,9 @@
 /// And a request must be whole so long after its connection came up, or after its head where others came
 /// before it on the connection: as with the head, an answer is owed within 3 s, whatever wait is stated.
 const WHOLE_TIME: Duration = Duration::from_millis(2750);
+/// So long after a drain began connections are closed between requests. Whatever asks before has its answer or
+/// is 2 s old when the front may expect the last one gone, 4 s after the call.
+const DRAIN_IDLE: Duration = Duration::from_millis(1750);
 /// Longest wait that a client may state.
 const REMAINING_MOST_MS: u64 = 3_600_000;
 /// A customer's number stays below this.
@@ -43,12 +46,33 @@
     driver: Rc<Driver>,
     classes: Vec<Class>,
     plans: Vec<String>,
-    draining: Cell<bool>,
+    drain: watch::Sender<Drain>,
     busy: Cell<usize>,
     /// Places for connections that are free.
     places: Arc<Semaphore>,
 }
 
+/// Whether clients are asked to go.
+#[derive(Clone, Copy)]
+enum Drain {
+    /// Clients are taken in.
+    No,
+    /// Unready; idle connections are closed from then on.
+    Until(Instant),
+    /// The same, and the program ends: there is no way back.
+    Ends(Instant),
+}
+
+impl Drain {
+    /// From when on connections are closed between requests.
+    fn closes(self) -> Option<Instant> {
+        match self {
+            Drain::No => None,
+            Drain::Until(at) | Drain::Ends(at) => Some(at),
+        }
+    }
+}
+
 type Reply = Response<Full<Bytes>>;
 
 /// What is wrong with a request. It is answered with neither 429 nor 503: those promise that trying again is
@@ -99,12 +123,51 @@
             keyed: matches!(class.effect, Effect::Keyed { .. }),
         };
         let classes = classes.into_iter().zip(&settings.classes).map(class).collect();
-        Rc::new(Server { driver, classes, plans, draining: Cell::default(), busy: Cell::default(), places })
+        let drain = watch::Sender::new(Drain::No);
+        Rc::new(Server { driver, classes, plans, drain, busy: Cell::default(), places })
     }
 
-    /// From now on the gateway is unready and asks clients to go with each answer.
+    /// From now on the gateway is unready, asks clients to go with each answer, and soon closes idle
+    /// connections. A drain under way goes on as it is.
     pub fn drain(&self) {
-        self.draining.set(true);
+        self.drain.send_if_modified(|drain| {
+            let begins = matches!(drain, Drain::No);
+            if begins {
+                *drain = Drain::Until(Instant::now() + DRAIN_IDLE);
+                tracing::info!("draining");
+            }
+            begins
+        });
+    }
+
+    /// Takes clients again after a drain. False if the program is ending.
+    pub fn resume(&self) -> bool {
+        self.drain.send_if_modified(|drain| {
+            let ends = matches!(drain, Drain::Until(_));
+            if ends {
+                *drain = Drain::No;
+                tracing::info!("the drain has ended");
+            }
+            ends
+        });
+        !matches!(*self.drain.borrow(), Drain::Ends(_))
+    }
+
+    /// Drains for good, in this time or what is left of a drain under way. Returns when idle connections are
+    /// closed.
+    pub fn end(&self, idle: Duration) -> Instant {
+        self.drain();
+        let mut closes = Instant::now() + idle;
+        self.drain.send_modify(|drain| {
+            closes = drain.closes().map_or(closes, |at| at.min(closes));
+            *drain = Drain::Ends(closes);
+        });
+        closes
+    }
+
+    /// True if clients are to come.
+    pub fn ready(&self) -> bool {
+        self.driver.ready() && self.drain.borrow().closes().is_none()
     }
 
     /// True while a request has no answer.
@@ -114,7 +177,7 @@
 
     /// Accepts clients until dropped. With all places taken, further ones wait in the listener's queue, so
     /// that the program never runs out of descriptors.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, close: watch::Receiver<bool>) {
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let seldom = Seldom::default();
         loop {
             let Ok(place) = self.places.clone().acquire_owned().await else { return };
@@ -126,15 +189,15 @@
                     continue;
                 }
             };
-            let (server, close) = (self.clone(), close.clone());
+            let server = self.clone();
             tokio::task::spawn_local(async move {
-                server.connection(stream, close).await;
+                server.connection(stream).await;
                 drop(place);
             });
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, mut close: watch::Receiver<bool>) {
+    async fn connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let came_up = Cell::new(Some(Instant::now()));
         let service = service_fn(|request| {
@@ -150,11 +213,24 @@
         // A client that breaks off or sends no HTTP is its own affair.
         tokio::select! {
             _ = connection.as_mut() => return,
-            _ = close.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
+            () = self.drained() => connection.as_mut().graceful_shutdown(),
         }
         let _ = connection.await;
     }
 
+    /// Waits until a drain closes idle connections.
+    async fn drained(&self) {
+        let mut drain = self.drain.subscribe();
+        loop {
+            let closes = drain.borrow_and_update().closes();
+            tokio::select! {
+                () = sleep_until(closes.unwrap_or_else(Instant::now)), if closes.is_some() => return,
+                // The sender lives as long as the server.
+                _ = drain.changed() => {}
+            }
+        }
+    }
+
     async fn reply(&self, request: Request<Incoming>, whole_by: Instant) -> Reply {
         self.busy.set(self.busy.get() + 1);
         let mut ticket = Ticket { server: self, open: None };
@@ -165,7 +241,7 @@
         ticket.open = None;
         // With all places taken a client is asked to go: those that wait to be accepted would starve behind
         // connections that are kept idle.
-        if self.draining.get() || self.places.available_permits() == 0 {
+        if self.drain.borrow().closes().is_some() || self.places.available_permits() == 0 {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
@@ -178,8 +254,10 @@
         let (parts, body) = request.into_parts();
         match parts.uri.path() {
             "/health/ready" => {
-                let ready = self.driver.ready() && !self.draining.get();
-                return Ok(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
+                return Ok(plain(
+                    if self.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE },
+                    "",
+                ));
             }
             "/health/live" => return Ok(plain(StatusCode::OK, "")),
             _ => {}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -762,3 +762,115 @@
     let (length, _) = peer.recv_from(&mut answer).expect("the known gateway is answered");
     assert_eq!((length, answer[1]), (13, 2));
 }
+
+// ---- Operators --------------------------------------------------------------------------------------------
+
+/// A calm configuration with a place for operators.
+fn operated(backends: &[SocketAddr]) -> serde_json::Value {
+    let mut config = calm(backends);
+    config["operator"] = "127.0.0.1:0".into();
+    config
+}
+
+impl Gateway {
+    fn operator(&self) -> SocketAddr {
+        let told = self.log.recv_timeout(LONG).expect("it tells where operators call");
+        told.split_once("operators call at ").expect("the line after the clients' address").1.parse().unwrap()
+    }
+
+    fn ready(&self) -> bool {
+        self.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200
+    }
+}
+
+/// One operator's call, on a connection of its own that the gateway closes after it.
+fn call(at: SocketAddr, line: &str) -> Message {
+    let mut open = BufReader::new(TcpStream::connect(at).unwrap());
+    open.get_mut().set_read_timeout(Some(LONG)).unwrap();
+    open.get_mut().write_all(format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).unwrap();
+    let answer = read(&mut open).expect("an answer");
+    assert_eq!(open.read(&mut [0]).unwrap(), 0, "one call a connection");
+    answer
+}
+
+#[test]
+fn operators_drain_and_resume() {
+    let (backend, _) = good();
+    let mut gateway = Gateway::new(&operated(&[backend]));
+    let at = gateway.operator();
+    assert_eq!(call(at, "GET /admin/health").status(), 200);
+    let mut idle = gateway.open();
+    idle.get_mut().write_all(look(1, 1, 3000).as_bytes()).unwrap();
+    assert_eq!(read(&mut idle).unwrap().status(), 200);
+    let start = Instant::now();
+    assert_eq!(call(at, "POST /admin/quiesce").status(), 200);
+    assert!(!gateway.ready());
+    assert_eq!(call(at, "GET /admin/health").status(), 503);
+    // Whoever comes all the same is served and asked to go; the idle connection is closed in time.
+    let answer = gateway.get(2, 1);
+    assert_eq!((answer.status(), answer.headers["connection"].as_str()), (200, "close"));
+    assert!(read(&mut idle).is_none());
+    assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
+    assert_eq!(call(at, "POST /admin/resume").status(), 200);
+    assert!(gateway.ready());
+    assert!(!gateway.get(3, 1).headers.contains_key("connection"));
+    // And SIGTERM ends it while it is drained.
+    assert_eq!(call(at, "POST /admin/quiesce").status(), 200);
+    gateway.signal("-TERM");
+    assert!(gateway.child.wait().unwrap().success());
+}
+
+#[test]
+fn running_requests_outlast_a_drain() {
+    let (begun_to, begun) = channel();
+    let addr = serve(move |_| {
+        let _ = begun_to.send(());
+        std::thread::sleep(Duration::from_millis(2200));
+        Play::Say(say(200, "", "done"))
+    });
+    let mut config = operated(&[addr]);
+    config["settings"]["categories"][0]["aim-ms"] = 4000.0.into();
+    let gateway = Gateway::new(&config);
+    let at = gateway.operator();
+    let mut open = gateway.open();
+    open.get_mut().write_all(look(1, 1, 4000).as_bytes()).unwrap();
+    begun.recv_timeout(LONG).unwrap();
+    assert_eq!(call(at, "POST /admin/quiesce").status(), 200);
+    assert_eq!(read(&mut open).expect("an answer").body, b"done");
+    assert!(read(&mut open).is_none(), "it is closed after that");
+}
+
+#[test]
+fn other_calls_of_operators_are_turned_down() {
+    let (backend, _) = good();
+    let gateway = Gateway::new(&operated(&[backend]));
+    let at = gateway.operator();
+    assert_eq!(call(at, "GET /admin").status(), 404);
+    let wrong = call(at, "GET /admin/quiesce");
+    assert_eq!((wrong.status(), wrong.headers["allow"].as_str()), (405, "POST"));
+    assert_eq!(call(at, "POST /admin/health").status(), 405);
+    assert!(gateway.ready());
+    // What operators may call, clients may not.
+    assert_eq!(
+        gateway.ask("POST /admin/quiesce HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").status(),
+        404
+    );
+}
+
+/// Neither clients that hold every place nor callers that say nothing keep an operator waiting.
+#[test]
+fn an_operator_is_heard_however_many_hang_on() {
+    let (backend, _) = good();
+    let mut config = operated(&[backend]);
+    config["limits"]["sockets"] = 80.into();
+    let gateway = Gateway::new(&config);
+    let at = gateway.operator();
+    let _clients: Vec<_> = (0..60).map(|_| gateway.open()).collect();
+    let mut silent: Vec<_> = (0..8).map(|_| TcpStream::connect(at).unwrap()).collect();
+    assert_eq!(call(at, "GET /admin/health").status(), 200);
+    for caller in &mut silent {
+        caller.set_read_timeout(Some(LONG)).unwrap();
+        // Closed, with or without an error.
+        assert!(caller.read_to_end(&mut Vec::new()).is_ok());
+    }
+}
