Inherit the clients' listener, so that a new process starts beside the old one

The listener comes as the descriptor that RELAY_LISTEN_FD names. A process takes clients from it only once it can serve; on SIGTERM it stops accepting at once, closes its own copy and no more, serves kept connections once more and closes those still idle 1.75 s on. The crate listenfd adopts the descriptor, so `unsafe_code` stays forbidden.

Not taken: a second listener on the same address (SO_REUSEPORT). And not the 0.6 s of further accepting of a plain restart: the next process is there.

Tests: the last two of tests/gateway.rs; without the change the second process exits, its address being in use, and the descriptor is ignored.

--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -32,6 +32,11 @@
 const BACKLOG: u32 = 1024;
 /// After SIGTERM new clients are taken in for so long: the front may not have noticed yet.
 const ACCEPT_ON: Duration = Duration::from_millis(600);
+/// With an inherited listener, whose new clients the next process takes in, connections that are still open are
+/// closed between requests so long after SIGTERM: by then nearly all were asked to go by an answer.
+const HAND_OVER: Duration = Duration::from_millis(1750);
+/// Clients of an inherited listener are taken in once requests can be served, or after so long all the same.
+const UNREADY: Duration = Duration::from_secs(5);
 /// What is open is answered so long after SIGTERM, or after the longest deadline where that is longer: the
 /// platform kills 0.7 s after it.
 const ANSWERED: Duration = Duration::from_millis(3300);
@@ -44,7 +49,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let run = |runtime: tokio::runtime::Runtime| {
         let config = config::load()?;
-        tokio::task::LocalSet::new().block_on(&runtime, run(config))
+        let inherited = inherited().map_err(|e| format!("RELAY_LISTEN_FD: {e}"))?;
+        tokio::task::LocalSet::new().block_on(&runtime, run(config, inherited))
     };
     match runtime.map_err(|e| e.to_string()).and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
@@ -55,10 +61,14 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let listener = listen(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
+    let shared = inherited.is_some();
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener).map_err(|e| format!("RELAY_LISTEN_FD: {e}"))?,
+        None => listen(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?,
+    };
     let operator = match config.operator {
         Some(at) => Some(listen(at).map_err(|e| format!("operator {at}: {e}"))?),
         None => None,
@@ -102,7 +112,15 @@
     let free = Arc::new(Semaphore::new(places));
     let server = Server::new(driver.clone(), &settings, config.classes, config.plans, free.clone());
     tracing::info!("listening on {}", listener.local_addr().map_err(|e| e.to_string())?);
-    let accept = tokio::task::spawn_local(server.clone().accept(listener));
+    let accepting = server.clone();
+    let accept = tokio::task::spawn_local(async move {
+        let start = Instant::now();
+        // The process that runs beside this one serves meanwhile; without one clients wait in the queue.
+        while shared && !accepting.ready() && start.elapsed() < UNREADY {
+            sleep(Duration::from_millis(10)).await;
+        }
+        accepting.accept(listener).await;
+    });
     if let Some(operator) = operator {
         tracing::info!("operators call at {}", operator.local_addr().map_err(|e| e.to_string())?);
         tokio::task::spawn_local(operator::run(operator, server.clone()));
@@ -113,8 +131,11 @@
     let longest = Duration::from_secs_f64(longest.fold(0.0, f64::max) / 1000.0);
     let by = Instant::now() + longest.max(ANSWERED);
     // From then on connections end between requests; those that are answering end after it.
-    let closes = server.end(ACCEPT_ON);
-    sleep(ACCEPT_ON).await;
+    let closes = server.end(if shared { HAND_OVER } else { ACCEPT_ON });
+    if !shared {
+        sleep(ACCEPT_ON).await;
+    }
+    // What waits in the queue of an inherited listener is for the next process: this copy alone is closed.
     accept.abort();
     sleep_until(closes).await;
     while server.busy() && Instant::now() < by {
@@ -140,6 +161,19 @@
     }
 }
 
+/// The listener that whoever started this process holds, where `RELAY_LISTEN_FD` names its descriptor.
+fn inherited() -> std::io::Result<Option<std::net::TcpListener>> {
+    let Some(fd) = std::env::var_os("RELAY_LISTEN_FD") else { return Ok(None) };
+    // The crate goes by systemd's variables. No other thread runs yet that could read them meanwhile.
+    std::env::remove_var("LISTEN_PID");
+    std::env::set_var("LISTEN_FDS", "1");
+    std::env::set_var("LISTEN_FDS_FIRST_FD", fd);
+    let listener = listenfd::ListenFd::from_env().take_tcp_listener(0)?;
+    let listener = listener.ok_or_else(|| std::io::Error::other("no listening socket"))?;
+    listener.set_nonblocking(true)?;
+    Ok(Some(listener))
+}
+
 fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // A restart finds the address free, though connections of the former process linger.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -187,20 +187,52 @@
     path: PathBuf,
 }
 
-fn start(config: &serde_json::Value) -> (Child, PathBuf) {
+/// Writes a configuration into a file of its own.
+fn write(config: &serde_json::Value) -> PathBuf {
     static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("heronstage-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).unwrap();
+    path
+}
+
+fn start(config: &serde_json::Value) -> (Child, PathBuf) {
+    let path = write(config);
     let mut command = Command::new(env!("CARGO_BIN_EXE_heronstage"));
     let child = command.env("RELAY_CONFIG", &path).stdin(Stdio::null()).stderr(Stdio::piped()).spawn();
     (child.unwrap(), path)
 }
 
+/// Starts the program with a clients' listener that it inherits as descriptor 3.
+fn start_inheriting(
+    config: &serde_json::Value, listener: &TcpListener, temporary: &std::path::Path,
+) -> (Child, PathBuf) {
+    let path = write(config);
+    let run = format!("exec {} 3<&0 </dev/null", env!("CARGO_BIN_EXE_heronstage"));
+    let mut command = Command::new("/bin/sh");
+    command
+        .args(["-c", &run])
+        .env("RELAY_CONFIG", &path)
+        .env("RELAY_LISTEN_FD", "3")
+        .env("TMPDIR", temporary);
+    let listener = std::os::fd::OwnedFd::from(listener.try_clone().unwrap());
+    (command.stdin(listener).stderr(Stdio::piped()).spawn().unwrap(), path)
+}
+
 impl Gateway {
     /// Starts the program and waits until it is ready.
     fn new(config: &serde_json::Value) -> Self {
-        let (mut child, path) = start(config);
+        let gateway = Self::started(start(config));
+        let start = Instant::now();
+        while gateway.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
+            assert!(start.elapsed() < LONG, "never ready");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        gateway
+    }
+
+    /// Waits until the program listens.
+    fn started((mut child, path): (Child, PathBuf)) -> Self {
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (to, log) = channel();
         std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| to.send(l)));
@@ -210,13 +242,7 @@
                 break addr.parse().unwrap();
             }
         };
-        let gateway = Gateway { child, addr, log, path };
-        let start = Instant::now();
-        while gateway.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
-            assert!(start.elapsed() < LONG, "never ready");
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        gateway
+        Gateway { child, addr, log, path }
     }
 
     fn open(&self) -> BufReader<TcpStream> {
@@ -874,3 +900,59 @@
         assert!(caller.read_to_end(&mut Vec::new()).is_ok());
     }
 }
+
+// ---- A new version beside the old one ---------------------------------------------------------------------
+
+/// A folder of the test's own, as the platform gives one to the processes of a gateway.
+fn temporary() -> PathBuf {
+    let path = write(&serde_json::json!({})).with_extension("tmp");
+    std::fs::create_dir(&path).unwrap();
+    path
+}
+
+#[test]
+fn a_second_process_takes_over_the_listener_and_loses_nothing() {
+    let (backend, _) = good();
+    let config = operated(&[backend]);
+    let (listener, temporary) = (TcpListener::bind("127.0.0.1:0").unwrap(), temporary());
+    let mut old = Gateway::started(start_inheriting(&config, &listener, &temporary));
+    assert_eq!(old.addr, listener.local_addr().unwrap());
+    let mut kept = old.open();
+    kept.get_mut().write_all(look(0, 1, 3000).as_bytes()).unwrap();
+    assert_eq!(read(&mut kept).unwrap().status(), 200);
+    let new = Gateway::started(start_inheriting(&config, &listener, &temporary));
+    let (at, start) = (new.operator(), Instant::now());
+    while call(at, "GET /admin/health").status() != 200 {
+        assert!(start.elapsed() < LONG, "never ready");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    old.signal("-TERM");
+    let mut customer = 1;
+    let ended = loop {
+        assert_eq!(new.get(customer, 1).status(), 200, "a request while both run");
+        customer += 1;
+        if let Some(status) = old.child.try_wait().unwrap() {
+            break status;
+        }
+        if customer == 4 {
+            // What clients kept open is served by the old process, which asks them to go.
+            kept.get_mut().write_all(look(99, 1, 3000).as_bytes()).unwrap();
+            let answer = read(&mut kept).unwrap();
+            assert_eq!((answer.status(), answer.headers["connection"].as_str()), (200, "close"));
+        }
+    };
+    assert!(ended.success());
+    assert!(start.elapsed() < LONG);
+    assert_eq!(new.get(customer, 1).status(), 200, "the listener outlives the old process");
+}
+
+#[test]
+fn an_inherited_descriptor_that_is_no_socket_is_told() {
+    let path = write(&calm(&[nobody()]));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heronstage"));
+    command.env("RELAY_CONFIG", &path).env("RELAY_LISTEN_FD", "0").stdin(Stdio::null());
+    let output = command.output().unwrap();
+    let told = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success());
+    assert!(told.contains("RELAY_LISTEN_FD") && told.trim_end().lines().count() == 1, "{told}");
+}
