Count requests and attempts for operators, told by GET /admin/stats

Requests count by class once, at their end; an attempt once its last byte is written; the list's length and the servers kept from requests are asked of driver and module when they are read. Figures live apart (`figures`) and nothing is decided by them. Classes and plans move out of `server` into a table by name, where the counts hang, so that a class that comes back after a change of settings goes on from its former count.

Not taken: a metrics crate. Nine figures in the operators' own names need no registry, and the recorder of such a crate is global, where tests and a second table would share it.

Tests: figures_tell_what_became_of_requests, attempts_count_once_they_are_written; without the change /admin/stats answers 404 and both fail.

--- a/src/bin/heronstage/backends.rs
+++ b/src/bin/heronstage/backends.rs
@@ -43,7 +43,7 @@
     idle: RefCell<HashMap<BackendId, Vec<Line>>>,
     open: Rc<Cell<usize>>,
     most: usize,
-    connect: Duration,
+    connect: Cell<Duration>,
     idle_limit: IdleLimit,
 }
 
@@ -55,15 +55,15 @@
             idle: RefCell::default(),
             open: Rc::default(),
             most,
-            connect: Duration::from_secs_f64(connect_ms / 1000.0),
+            connect: Cell::new(Duration::from_secs_f64(connect_ms / 1000.0)),
             idle_limit: IdleLimit::new(Duration::from_secs_f64(idle_ms / 2000.0)),
         }
     }
 
     /// Sends one request and waits for its answer. Its connection is closed before this returns, unless the
-    /// answer came whole; dropping the future closes it too.
+    /// answer came whole; dropping the future closes it too. `written` is called once the last byte is out.
     pub async fn attempt(
-        &self, backend: BackendId, addr: SocketAddr, message: &[u8], until: Instant,
+        &self, backend: BackendId, addr: SocketAddr, message: &[u8], until: Instant, written: impl FnOnce(),
     ) -> (Ended, Option<(Head, Bytes)>) {
         let kept = self.reuse(backend);
         let idle = kept.as_ref().map(|line| line.used.elapsed());
@@ -74,7 +74,7 @@
         let Some(mut line) = line else { return (Ended::ConnectFailed, None) };
         // A request whose last byte was not written can't have begun; after that it may have.
         match timeout_at(until, line.reader.io.write_all(message)).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(())) => written(),
             _ => return (Ended::ConnectFailed, None),
         }
         let (head, body) = match timeout_at(until, line.reader.answer(BODY_MOST)).await {
@@ -123,7 +123,7 @@
         self.open.set(self.open.get() + 1);
         let held = Held(self.open.clone());
         // A vanished machine never answers a connect: it is given up after the settings' time.
-        let until = until.min(Instant::now() + self.connect);
+        let until = until.min(Instant::now() + self.connect.get());
         let stream = timeout_at(until, TcpStream::connect(addr)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         Some(Line { reader: Reader::new(stream), used: Instant::now(), _held: held })
@@ -139,7 +139,7 @@
 
     /// Time within which a connection comes up.
     pub fn connect_time(&self) -> Duration {
-        self.connect
+        self.connect.get()
     }
 
     /// Closes what has stood idle for too long or broke meanwhile.
--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -3,6 +3,7 @@
 use cherrytally::{Class, Counter, Effect, Group, Limits, Plan, Prices, Reports, Rules, Settings};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::sync::watch::Receiver;
 
 /// Where discovery and the counter are: a reload may move them.
@@ -10,6 +11,8 @@
 pub struct Places {
     pub discovery: SocketAddr,
     pub counter: Option<SocketAddr>,
+    /// How long a call to the counter may take.
+    pub patience: Duration,
 }
 
 /// Waits until a place is no longer as it was.
@@ -310,10 +313,11 @@
         reports: Reports::Off,
         list_asked: w.membership_mode == Mode::Ask,
     };
+    let patience = Duration::from_secs_f64(w.domain.counter_timeout_ms / 1000.0);
     Ok(Config {
         listen: file.listen,
         operator: file.operator,
-        places: Places { discovery: file.discovery, counter: file.counter },
+        places: Places { discovery: file.discovery, counter: file.counter, patience },
         seed,
         sockets: file.limits.sockets,
         peer_listen: file.peer_listen,
--- a/src/bin/heronstage/counter.rs
+++ b/src/bin/heronstage/counter.rs
@@ -62,10 +62,8 @@
 }
 
 /// Runs the connections.
-pub fn spawn(
-    ends: LaneEnds, addr: SocketAddr, places: &Receiver<Places>, timeout_ms: f64, driver: &Rc<Driver>,
-) {
-    let patience = Duration::from_secs_f64(timeout_ms / 1000.0);
+pub fn spawn(ends: LaneEnds, addr: SocketAddr, places: &Receiver<Places>, driver: &Rc<Driver>) {
+    let patience = places.borrow().patience;
     let idle_limit = Rc::new(IdleLimit::new(IDLE));
     for calls in ends {
         let (places, driver, idle_limit) = (places.clone(), driver.clone(), idle_limit.clone());
@@ -106,7 +104,8 @@
                 },
             };
             // A configuration that names no counter any more leaves the calls where they went.
-            self.addr = self.places.borrow().counter.unwrap_or(self.addr);
+            let Places { counter, patience, .. } = *self.places.borrow();
+            (self.addr, self.patience) = (counter.unwrap_or(self.addr), patience);
             match timeout(self.patience, TcpStream::connect(self.addr)).await {
                 Ok(Ok(stream)) => {
                     let _ = stream.set_nodelay(true);
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -4,6 +4,7 @@
 use crate::backends::Backends;
 use crate::config::{Registry, ServerState};
 use crate::counter::{Call, Lanes};
+use crate::figures::Figures;
 use crate::http::Head;
 use crate::peers::Peers;
 use bytes::Bytes;
@@ -130,8 +131,9 @@
     lanes: Option<Lanes>,
     peers: Option<Rc<Peers>>,
     names: Names,
-    max_attempts: usize,
-    second_copies: bool,
+    figures: Rc<Figures>,
+    max_attempts: Cell<usize>,
+    second_copies: Cell<bool>,
     discovery_heard: Cell<bool>,
     started: Instant,
 }
@@ -139,7 +141,7 @@
 impl Driver {
     pub fn new(
         settings: Settings, seed: u64, names: Names, backends: Backends, lanes: Option<Lanes>,
-        peers: Option<Rc<Peers>>,
+        peers: Option<Rc<Peers>>, figures: Rc<Figures>,
     ) -> Rc<Self> {
         let clock = Clock::new();
         let (max_attempts, second_copies) =
@@ -160,8 +162,9 @@
             lanes,
             peers,
             names,
-            max_attempts,
-            second_copies,
+            figures,
+            max_attempts: Cell::new(max_attempts),
+            second_copies: Cell::new(second_copies),
             discovery_heard: Cell::new(false),
             started: Instant::now(),
         })
@@ -312,6 +315,12 @@
         told && self.inner.borrow().fleet.values().any(|known| known.state == State::Ready)
     }
 
+    /// How many backends the list holds, and how many of them are kept from requests.
+    pub fn listed(&self) -> (usize, usize) {
+        let inner = self.inner.borrow();
+        (inner.fleet.len(), inner.gateway.avoided(self.clock.now()))
+    }
+
     /// Closes connections that stood idle for too long.
     pub fn sweep(&self) {
         self.backends.sweep();
@@ -389,9 +398,9 @@
         let until = open.ends.min(now + duration(timeout_ms));
         let known = inner.fleet.get(&backend);
         let may = open.answer.is_some()
-            && number < self.max_attempts
+            && number < self.max_attempts.get()
             && until > now
-            && (self.second_copies || !open.out());
+            && (self.second_copies.get() || !open.out());
         let Some(known) = known.filter(|_| may) else {
             open.attempts.push(None);
             return Some(number as u8);
@@ -403,7 +412,9 @@
             let message = work.message(until - now);
             let (result, answer) = tokio::select! {
                 biased;
-                ended = driver.backends.attempt(backend, addr, &message, until) => ended,
+                ended = driver.backends.attempt(backend, addr, &message, until, || driver.figures.relayed()) => {
+                    ended
+                }
                 // Dropping the attempt closes its connection.
                 _ = &mut cancelled => (Ended::Cancelled, None),
             };
@@ -420,7 +431,7 @@
             let now = Instant::now();
             let message = format!("GET /health/live HTTP/1.1\r\nHost: {addr}\r\n\r\n");
             let until = now + driver.backends.connect_time();
-            let (result, _) = driver.backends.attempt(backend, addr, message.as_bytes(), until).await;
+            let (result, _) = driver.backends.attempt(backend, addr, message.as_bytes(), until, || {}).await;
             let took_ms = now.elapsed().as_secs_f64() * 1000.0;
             let event = Event::Probed { backend, result, took_ms, load: Load::default() };
             driver.handle(&mut driver.inner.borrow_mut(), event);
--- a/src/bin/heronstage/idle.rs
+++ b/src/bin/heronstage/idle.rs
@@ -13,7 +13,7 @@
 /// The limit for connections to one kind of peer. A peer, or the path to it, may drop idle connections far
 /// sooner than agreed and say nothing; what is written to one then ends as a reset, which may have run.
 pub struct IdleLimit {
-    most: Duration,
+    most: Cell<Duration>,
     limit: Cell<Duration>,
     at: Cell<Instant>,
 }
@@ -21,14 +21,14 @@
 impl IdleLimit {
     /// Starts at the most.
     pub fn new(most: Duration) -> Self {
-        IdleLimit { most, limit: Cell::new(most), at: Cell::new(Instant::now()) }
+        IdleLimit { most: Cell::new(most), limit: Cell::new(most), at: Cell::new(Instant::now()) }
     }
 
     /// The limit now.
     pub fn get(&self) -> Duration {
         let doublings = self.at.get().elapsed().as_secs_f64() / DOUBLES.as_secs_f64();
         let grown = self.limit.get().as_secs_f64() * doublings.min(64.0).exp2();
-        Duration::from_secs_f64(grown.min(self.most.as_secs_f64()))
+        Duration::from_secs_f64(grown.min(self.most.get().as_secs_f64()))
     }
 
     /// A connection that had stood idle for so long broke when it was used again: half of that is safer. One
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -5,22 +5,26 @@
 mod counter;
 mod discovery;
 mod driver;
+mod figures;
 mod http;
 mod idle;
 mod operator;
 mod peers;
 mod seldom;
 mod server;
+mod tables;
 
 use backends::Backends;
 use config::{Config, Places};
 use driver::{Driver, Names};
+use figures::Figures;
 use server::Server;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tables::Tables;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Semaphore};
@@ -83,16 +87,17 @@
     let reserved = RESERVED + operator.as_ref().map_or(0, |_| operator::PLACES + 1);
     let places = config.sockets.saturating_sub(reserved).max(2) / 2;
     let backends = Backends::new(places, config.connect_ms, config.idle_ms);
-    let counter = config.settings.counter.and_then(|c| Some((c.timeout_ms, config.places.counter?)));
+    let counter = config.settings.counter.and(config.places.counter);
     let (moves, places_now) = watch::channel(config.places);
-    tokio::task::spawn_local(reload(hangup, moves));
     let (lanes, ends) = counter::Lanes::new();
     let names = Names { zones: config.zones, kinds: config.kinds };
-    let settings = config.settings;
+    let mut settings = config.settings;
+    let (figures, mut tables) = (Rc::new(Figures::default()), Tables::default());
+    tables.take(&config.classes, &config.plans, &mut settings, &figures)?;
     let lanes = counter.map(|_| lanes);
-    let driver = Driver::new(settings.clone(), config.seed, names, backends, lanes, peers.clone());
-    if let Some((timeout_ms, addr)) = counter {
-        counter::spawn(ends, addr, &places_now, timeout_ms, &driver);
+    let driver = Driver::new(settings, config.seed, names, backends, lanes, peers.clone(), figures.clone());
+    if let Some(addr) = counter {
+        counter::spawn(ends, addr, &places_now, &driver);
     }
     let version = config.known.as_ref().map_or(0, |known| known.version);
     if let Some(known) = config.known {
@@ -110,7 +115,8 @@
         }
     });
     let free = Arc::new(Semaphore::new(places));
-    let server = Server::new(driver.clone(), &settings, config.classes, config.plans, free.clone());
+    let server = Server::new(driver.clone(), tables, figures.clone(), free.clone());
+    tokio::task::spawn_local(reload(hangup, moves, figures));
     tracing::info!("listening on {}", listener.local_addr().map_err(|e| e.to_string())?);
     let accepting = server.clone();
     let accept = tokio::task::spawn_local(async move {
@@ -127,8 +133,7 @@
     }
 
     term.recv().await;
-    let longest = settings.classes.iter().map(|c| c.deadline_ms + ANSWERED_AFTER_DEADLINE_MS);
-    let longest = Duration::from_secs_f64(longest.fold(0.0, f64::max) / 1000.0);
+    let longest = Duration::from_secs_f64((server.longest_ms() + ANSWERED_AFTER_DEADLINE_MS) / 1000.0);
     let by = Instant::now() + longest.max(ANSWERED);
     // From then on connections end between requests; those that are answering end after it.
     let closes = server.end(if shared { HAND_OVER } else { ACCEPT_ON });
@@ -149,9 +154,11 @@
 
 /// At each SIGHUP reads the configuration anew and tells where discovery and the counter are from now on. One
 /// that can't be read changes nothing.
-async fn reload(mut hangup: Signal, moves: watch::Sender<Places>) {
+async fn reload(mut hangup: Signal, moves: watch::Sender<Places>, figures: Rc<Figures>) {
     while hangup.recv().await.is_some() {
-        match config::load() {
+        let read = config::load();
+        figures.configured(read.is_ok());
+        match read {
             Ok(Config { places, .. }) => {
                 tracing::info!("SIGHUP: discovery at {}, counter at {:?}", places.discovery, places.counter);
                 moves.send_replace(places);
--- a/src/bin/heronstage/operator.rs
+++ b/src/bin/heronstage/operator.rs
@@ -62,7 +62,7 @@
 
 fn answer(request: &Request<Incoming>, server: &Rc<Server>) -> Response<Full<Bytes>> {
     let allowed = match request.uri().path() {
-        "/admin/health" => Method::GET,
+        "/admin/health" | "/admin/stats" => Method::GET,
         "/admin/quiesce" | "/admin/resume" => Method::POST,
         _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
     };
@@ -78,6 +78,7 @@
         }
         "/admin/resume" if server.resume() => text(StatusCode::OK, "taking clients\n"),
         "/admin/resume" => text(StatusCode::CONFLICT, "ending after SIGTERM\n"),
+        "/admin/stats" => text(StatusCode::OK, server.stats()),
         _ if server.ready() => text(StatusCode::OK, "ready\n"),
         _ => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
     }
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -1,10 +1,12 @@
 //! Clients: takes in their requests by HTTP/1.1 and writes the answers.
 
 use crate::driver::{Answer, Asked, Driver, Work};
+use crate::figures::{End, Figures, Present};
 use crate::http::BODY_MOST;
 use crate::seldom::Seldom;
+use crate::tables::{Class, Tables};
 use bytes::Bytes;
-use cherrytally::{Effect, RequestId, Settings};
+use cherrytally::RequestId;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
@@ -12,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -35,17 +37,13 @@
 /// A customer's number stays below this.
 const CUSTOMERS: u64 = 1 << 33;
 
-struct Class {
-    name: String,
-    method: Method,
-    keyed: bool,
-}
-
 /// What all connections of clients share.
 pub struct Server {
     driver: Rc<Driver>,
-    classes: Vec<Class>,
-    plans: Vec<String>,
+    tables: RefCell<Tables>,
+    figures: Rc<Figures>,
+    /// Requests taken in and not yet ended.
+    open: Cell<usize>,
     drain: watch::Sender<Drain>,
     busy: Cell<usize>,
     /// Places for connections that are free.
@@ -103,28 +101,45 @@
     open: Option<RequestId>,
 }
 
+impl Ticket<'_> {
+    fn open(&mut self, id: RequestId) {
+        self.server.open.set(self.server.open.get() + 1);
+        self.open = Some(id);
+    }
+
+    /// The request has its final answer.
+    fn end(&mut self) -> Option<RequestId> {
+        let open = self.open.take();
+        self.server.open.set(self.server.open.get() - usize::from(open.is_some()));
+        open
+    }
+}
+
 impl Drop for Ticket<'_> {
     fn drop(&mut self) {
         self.server.busy.set(self.server.busy.get() - 1);
-        if let Some(id) = self.open {
+        if let Some(id) = self.end() {
             self.server.driver.leave(id);
         }
     }
 }
 
 impl Server {
-    pub fn new(
-        driver: Rc<Driver>, settings: &Settings, classes: Vec<String>, plans: Vec<String>,
-        places: Arc<Semaphore>,
-    ) -> Rc<Self> {
-        let class = |(name, class): (String, &cherrytally::Class)| Class {
-            name,
-            method: if class.effect == Effect::Safe { Method::GET } else { Method::POST },
-            keyed: matches!(class.effect, Effect::Keyed { .. }),
-        };
-        let classes = classes.into_iter().zip(&settings.classes).map(class).collect();
-        let drain = watch::Sender::new(Drain::No);
-        Rc::new(Server { driver, classes, plans, drain, busy: Cell::default(), places })
+    pub fn new(driver: Rc<Driver>, tables: Tables, figures: Rc<Figures>, places: Arc<Semaphore>) -> Rc<Self> {
+        let (tables, drain) = (RefCell::new(tables), watch::Sender::new(Drain::No));
+        let (open, busy) = (Cell::default(), Cell::default());
+        Rc::new(Server { driver, tables, figures, open, drain, busy, places })
+    }
+
+    /// The longest deadline of what may be open, in ms.
+    pub fn longest_ms(&self) -> f64 {
+        self.tables.borrow().longest_ms()
+    }
+
+    /// The figures for operators.
+    pub fn stats(&self) -> String {
+        let (listed, avoided) = self.driver.listed();
+        self.figures.text(&Present { open: self.open.get(), listed, avoided })
     }
 
     /// From now on the gateway is unready, asks clients to go with each answer, and soon closes idle
@@ -238,7 +253,7 @@
             Ok(reply) => reply,
             Err(fault) => fault.reply(),
         };
-        ticket.open = None;
+        ticket.end();
         // With all places taken a client is asked to go: those that wait to be accepted would starve behind
         // connections that are kept idle.
         if self.drain.borrow().closes().is_some() || self.places.available_permits() == 0 {
@@ -278,9 +293,9 @@
                 Err(_) => return Err(Fault::new(StatusCode::REQUEST_TIMEOUT, "body not whole in time\n")),
             },
         };
-        let work = work(class, &parts.uri, &parts.headers, &body);
+        let work = work(&class, &parts.uri, &parts.headers, &body);
         let (id, ends, answer) = self.driver.request(&asked, work);
-        ticket.open = Some(id);
+        ticket.open(id);
         // The module ends a request in time; this guards against one that it would not.
         let answer = match timeout_at(ends + Duration::from_millis(5), answer).await {
             Ok(answer) => answer.unwrap_or(Answer::Failed),
@@ -289,6 +304,11 @@
                 Answer::Failed
             }
         };
+        class.ends.count(match answer {
+            Answer::Served { .. } => End::Fulfilled,
+            Answer::Refused { .. } => End::Throttled,
+            Answer::Failed => End::Faulted,
+        });
         Ok(match answer {
             Answer::Served { content_type, body } => {
                 let mut reply = Response::new(Full::new(body));
@@ -313,11 +333,12 @@
     /// Reads what a request says of itself. What is wrong with it is the client's fault, and never a refusal.
     fn read(
         &self, method: &Method, uri: &Uri, headers: &HeaderMap, at: Instant,
-    ) -> Result<(Asked, &Class), Fault> {
+    ) -> Result<(Asked, Rc<Class>), Fault> {
         let lane = uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
-        let class = self.classes.iter().position(|c| c.name == lane);
-        let Some(number) = class else { return Err(Fault::new(StatusCode::NOT_FOUND, "no such class\n")) };
-        let class = &self.classes[number];
+        let tables = self.tables.borrow();
+        let Some(class) = tables.class(lane) else {
+            return Err(Fault::new(StatusCode::NOT_FOUND, "no such class\n"));
+        };
         if *method != class.method {
             let allow = Some(class.method.clone());
             return Err(Fault { status: StatusCode::METHOD_NOT_ALLOWED, text: "wrong method\n", allow });
@@ -333,7 +354,7 @@
         if class.keyed && text("idempotency-key").is_none_or(str::is_empty) {
             return Err(bad("Idempotency-Key is missing\n"));
         }
-        let plan = text("x-plan").and_then(|plan| self.plans.iter().position(|p| p == plan));
+        let plan = text("x-plan").and_then(|plan| tables.plan(plan));
         let plan = plan.ok_or_else(|| bad("X-Plan is missing or unknown\n"))?;
         let remaining = text("x-remaining-ms").and_then(|v| v.parse::<u64>().ok());
         let remaining = remaining.filter(|ms| *ms <= REMAINING_MOST_MS);
@@ -354,7 +375,7 @@
         let asked = Asked {
             customer,
             plan: plan as u32,
-            class: number as u32,
+            class: class.number,
             units,
             spread,
             repeat: text("x-resent") == Some("1"),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -228,6 +228,22 @@
         }
     }
 
+    /// Listed backends that requests are kept from: draining ones, and those left out for their failures.
+    pub fn avoided(&self, now: Millis) -> usize {
+        let left_out = |b: &Backend| match b.listed.state {
+            State::Ready => !self.distrust() && b.failures >= EJECT_AFTER && (now < b.out_until || b.out > 0),
+            State::Draining => true,
+            State::Gone => false,
+        };
+        self.backends.values().filter(|b| left_out(b)).count()
+    }
+
+    /// If most look bad the ejection is distrusted, not the fleet: a lost path or list looks the same.
+    fn distrust(&self) -> bool {
+        let bad = self.ready().filter(|b| b.failures >= EJECT_AFTER).count();
+        bad * 2 > self.ready().count()
+    }
+
     fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
         actions.push(Action::Timer { token: TOKEN_TICK, after_ms: TICK_MS });
         if self.list_retry.take_if(|at| *at <= now).is_some() {
@@ -642,9 +658,7 @@
                 })
                 && (self.cold_share(now, b).is_none() || b.cold.0 >= 1.0)
         };
-        let bad = self.ready().filter(|b| b.failures >= EJECT_AFTER).count();
-        // If most look bad the ejection is distrusted, not the fleet: a lost path or list looks the same.
-        let distrust = bad * 2 > self.ready().count();
+        let distrust = self.distrust();
         let mut best: Option<(bool, f64, BackendId)> = None;
         for b in self.backends.values().filter(|b| allowed(b)) {
             let trial = b.failures < EJECT_AFTER || distrust || (now >= b.out_until && b.out == 0);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -956,3 +956,92 @@
     assert!(!output.status.success());
     assert!(told.contains("RELAY_LISTEN_FD") && told.trim_end().lines().count() == 1, "{told}");
 }
+
+// ---- Figures ----------------------------------------------------------------------------------------------
+
+/// One figure as operators read it, once it stands at what it must come to.
+fn await_figure(at: SocketAddr, name: &str, value: u64) {
+    let start = Instant::now();
+    loop {
+        let text = String::from_utf8(call(at, "GET /admin/stats").body).unwrap();
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        if line.is_some_and(|line| line == value.to_string()) {
+            return;
+        }
+        assert!(start.elapsed() < LONG, "{name} is not {value}:\n{text}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn ended(class: &str, status: &str) -> String {
+    format!("relay_operations_total{{priority=\"{class}\",status=\"{status}\"}}")
+}
+
+#[test]
+fn figures_tell_what_became_of_requests() {
+    let (begun_to, begun) = channel();
+    let (good, _) = good();
+    let hush = serve(move |_| {
+        let _ = begun_to.send(());
+        Play::Hush(channel().0)
+    });
+    let full = serve(|_| Play::Say(say(503, "X-Turned-Away: 1\r\n", "")));
+    let discovery = Discovery::new();
+    let mut config = config(&[good, full], counter(Arc::default()), discovery.addr);
+    config["operator"] = "127.0.0.1:0".into();
+    let gateway = Gateway::new(&config);
+    let at = gateway.operator();
+    for status in ["fulfilled", "throttled", "faulted"] {
+        await_figure(at, &ended("once", status), 0);
+    }
+    await_figure(at, "relay_registry_entries", 2);
+    await_figure(at, "relay_out_of_rotation", 0);
+    // Both backends get what never ran, if the full one is asked first; the customer's third is over its quota.
+    assert_eq!([2, 2, 2].map(|units| gateway.get(9, units).status()), [200, 200, 429]);
+    await_figure(at, &ended("look", "fulfilled"), 2);
+    await_figure(at, &ended("look", "throttled"), 1);
+    // No request of a class: nobody's figure.
+    assert_eq!(gateway.ask(&look(1, 1, 3000).replace("X-Txn", "X-Other")).status(), 400);
+    let (_, mut watch) = discovery.watch();
+    let change = |version: u64, servers: &[serde_json::Value]| {
+        serde_json::json!({"version": version, "full": false, "servers": servers}).to_string()
+    };
+    tell(
+        &mut watch,
+        &change(8, &[entry(0, good, "Terminating"), entry(1, full, "Gone"), entry(2, hush, "Ready")]),
+    );
+    await_figure(at, "relay_registry_entries", 2);
+    await_figure(at, "relay_out_of_rotation", 1);
+    let mut open = gateway.open();
+    let text = post("once", "", "x").replace("Remaining-Ms: 3000", "Remaining-Ms: 900");
+    open.get_mut().write_all(text.as_bytes()).unwrap();
+    begun.recv_timeout(LONG).unwrap();
+    await_figure(at, "relay_open_requests", 1);
+    assert_eq!(read(&mut open).unwrap().status(), 502);
+    await_figure(at, &ended("once", "faulted"), 1);
+    await_figure(at, "relay_open_requests", 0);
+    std::fs::write(&gateway.path, "").unwrap();
+    gateway.signal("-HUP");
+    await_figure(at, "relay_cfg_invalid_total", 1);
+    reload(&gateway, &config.to_string());
+    await_figure(at, "relay_cfg_accepted_total", 1);
+}
+
+/// Each attempt written whole counts, one that found no connection does not.
+#[test]
+fn attempts_count_once_they_are_written() {
+    let turned = Arc::new(Mutex::new(0));
+    let seen = turned.clone();
+    let full = serve(move |_| {
+        *seen.lock().unwrap() += 1;
+        Play::Say(say(503, "X-Turned-Away: 1\r\n", ""))
+    });
+    let (good, got) = good();
+    let gateway = Gateway::new(&operated(&[nobody(), full, good]));
+    let at = gateway.operator();
+    for customer in 0..3 {
+        assert_eq!(gateway.get(customer, 1).status(), 200);
+    }
+    let written = *turned.lock().unwrap() + got.lock().unwrap().len() as u64;
+    await_figure(at, "relay_relayed_total", written);
+}
