Take over other settings at SIGHUP, whole or not at all

The file is read and checked whole: every key of `settings` that the file in force has must be there, deadlines and attempts above 0, names once, nothing after the end. Then classes and plans are entered in the table: what is as before keeps its number, what is new or changed gets one that nothing open bears, and the module hears the lot as one event, keeping stores, health, counts and open requests. A new class starts at the usual time of the known ones.

Not taken: a new module beside the old one for what comes next. It would have to learn stores and health anew, and two modules would each count a part of what is out.

Tests: other_settings_keep_stores_health_and_open_requests (module), sighup_brings_other_settings_..., and broken_files_leave_the_settings_whole; without the change the event does not exist, the new class stays 404 and files that lack a key are taken.

--- a/src/bin/heronstage/backends.rs
+++ b/src/bin/heronstage/backends.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Takes over other times.
+    pub fn retune(&self, connect_ms: f64, idle_ms: f64) {
+        self.connect.set(Duration::from_secs_f64(connect_ms / 1000.0));
+        self.idle_limit.at_most(Duration::from_secs_f64(idle_ms / 2000.0));
+    }
+
     /// Sends one request and waits for its answer. Its connection is closed before this returns, unless the
     /// answer came whole; dropping the future closes it too. `written` is called once the last byte is out.
     pub async fn attempt(
--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -26,6 +26,8 @@
 /// All that a gateway is told when it starts.
 pub struct Config {
     pub listen: SocketAddr,
+    /// The settings as they stand in the file.
+    pub raw: serde_json::Value,
     /// Where operators call, if they do.
     pub operator: Option<SocketAddr>,
     pub places: Places,
@@ -236,6 +238,9 @@
     let mut json = serde_json::Deserializer::from_str(text);
     let file: File = serde_path_to_error::deserialize(&mut json)
         .map_err(|e| format!("configuration: {}: {}", e.path(), e.inner()))?;
+    json.end().map_err(|e| format!("configuration: {e}"))?;
+    let mut raw: serde_json::Value = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
+    let raw = raw["settings"].take();
     let fault = |field: &str, what: &str| Err(format!("configuration: {field}: {what}"));
     let w = &file.settings;
     for (field, value) in [
@@ -264,6 +269,22 @@
     if w.categories.is_empty() {
         return fault("settings.categories", "empty");
     }
+    if w.categories.iter().any(|c| c.give_up_ms <= 0.0) {
+        return fault("settings.categories", "a deadline that is not above 0");
+    }
+    if w.limits.try_limit == 0 {
+        return fault("settings.limits.try-limit", "not above 0");
+    }
+    let twice = |mut names: Vec<&str>| {
+        names.sort_unstable();
+        names.windows(2).any(|pair| pair[0] == pair[1])
+    };
+    if twice(w.categories.iter().map(|c| c.name.as_str()).collect()) {
+        return fault("settings.categories", "a name stands twice");
+    }
+    if twice(w.tiers_of_service.iter().map(|p| p.name.as_str()).collect()) {
+        return fault("settings.tiers-of-service", "a name stands twice");
+    }
     if w.domain.may_count && file.counter.is_none() {
         return fault("counter", "missing, though settings.domain.may-count is true");
     }
@@ -316,6 +337,7 @@
     let patience = Duration::from_secs_f64(w.domain.counter_timeout_ms / 1000.0);
     Ok(Config {
         listen: file.listen,
+        raw,
         operator: file.operator,
         places: Places { discovery: file.discovery, counter: file.counter, patience },
         seed,
@@ -335,6 +357,20 @@
     })
 }
 
+impl Config {
+    /// Checks that a file read later holds every setting that this one does: one that lacks a key is broken, even
+    /// if the gateway could do without it.
+    pub fn lacks(raw: &serde_json::Value, later: &serde_json::Value) -> Option<String> {
+        let (serde_json::Value::Object(raw), serde_json::Value::Object(later)) = (raw, later) else {
+            return None;
+        };
+        raw.iter().find_map(|(key, value)| match later.get(key) {
+            None => Some(key.clone()),
+            Some(later) => Config::lacks(value, later).map(|lacking| format!("{key}.{lacking}")),
+        })
+    }
+}
+
 fn class(c: &WireClass) -> Class {
     let group = match c.group {
         WireGroup::All => Group::All,
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -321,6 +321,16 @@
         (inner.fleet.len(), inner.gateway.avoided(self.clock.now()))
     }
 
+    /// Takes over other settings. Peers and a counter that the start did not bring stay away.
+    pub fn retune(self: &Rc<Self>, mut settings: Settings, connect_ms: f64, idle_ms: f64) {
+        self.backends.retune(connect_ms, idle_ms);
+        settings.counter = settings.counter.filter(|_| self.lanes.is_some());
+        settings.limits.peers &= self.peers.is_some();
+        self.max_attempts.set(settings.limits.max_attempts as usize);
+        self.second_copies.set(settings.limits.second_copies);
+        self.handle(&mut self.inner.borrow_mut(), Event::Settings(settings));
+    }
+
     /// Closes connections that stood idle for too long.
     pub fn sweep(&self) {
         self.backends.sweep();
--- a/src/bin/heronstage/idle.rs
+++ b/src/bin/heronstage/idle.rs
@@ -24,6 +24,11 @@
         IdleLimit { most: Cell::new(most), limit: Cell::new(most), at: Cell::new(Instant::now()) }
     }
 
+    /// Another most holds; what was learned stays.
+    pub fn at_most(&self, most: Duration) {
+        self.most.set(most);
+    }
+
     /// The limit now.
     pub fn get(&self) -> Duration {
         let doublings = self.at.get().elapsed().as_secs_f64() / DOUBLES.as_secs_f64();
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -116,7 +116,7 @@
     });
     let free = Arc::new(Semaphore::new(places));
     let server = Server::new(driver.clone(), tables, figures.clone(), free.clone());
-    tokio::task::spawn_local(reload(hangup, moves, figures));
+    tokio::task::spawn_local(reload(hangup, config.raw, moves, figures, server.clone()));
     tracing::info!("listening on {}", listener.local_addr().map_err(|e| e.to_string())?);
     let accepting = server.clone();
     let accept = tokio::task::spawn_local(async move {
@@ -152,14 +152,31 @@
     Ok(())
 }
 
-/// At each SIGHUP reads the configuration anew and tells where discovery and the counter are from now on. One
-/// that can't be read changes nothing.
-async fn reload(mut hangup: Signal, moves: watch::Sender<Places>, figures: Rc<Figures>) {
+/// At each SIGHUP reads the configuration anew: where discovery and the counter are from now on, and other
+/// settings. A file that is broken anywhere changes nothing.
+async fn reload(
+    mut hangup: Signal, mut raw: serde_json::Value, moves: watch::Sender<Places>, figures: Rc<Figures>,
+    server: Rc<Server>,
+) {
     while hangup.recv().await.is_some() {
-        let read = config::load();
-        figures.configured(read.is_ok());
-        match read {
-            Ok(Config { places, .. }) => {
+        let read = config::load().and_then(|config| match Config::lacks(&raw, &config.raw) {
+            Some(key) => Err(format!("configuration: settings.{key}: missing")),
+            // The list in hand and the module know zones and kinds by their places.
+            None if config.raw["zones"] != raw["zones"] || config.raw["kinds"] != raw["kinds"] => {
+                Err("configuration: settings: other zones or kinds need a restart".to_owned())
+            }
+            None => Ok(config),
+        });
+        let taken = read.and_then(|config| {
+            if config.raw != raw {
+                server.retune(&config)?;
+            }
+            raw = config.raw;
+            Ok(config.places)
+        });
+        figures.configured(taken.is_ok());
+        match taken {
+            Ok(places) => {
                 tracing::info!("SIGHUP: discovery at {}, counter at {:?}", places.discovery, places.counter);
                 moves.send_replace(places);
             }
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -1,5 +1,6 @@
 //! Clients: takes in their requests by HTTP/1.1 and writes the answers.
 
+use crate::config::Config;
 use crate::driver::{Answer, Asked, Driver, Work};
 use crate::figures::{End, Figures, Present};
 use crate::http::BODY_MOST;
@@ -131,6 +132,15 @@
         Rc::new(Server { driver, tables, figures, open, drain, busy, places })
     }
 
+    /// Takes over the settings of another configuration, all or none of them. What is open goes on by the former
+    /// ones.
+    pub fn retune(&self, config: &Config) -> Result<(), String> {
+        let mut settings = config.settings.clone();
+        self.tables.borrow_mut().take(&config.classes, &config.plans, &mut settings, &self.figures)?;
+        self.driver.retune(settings, config.connect_ms, config.idle_ms);
+        Ok(())
+    }
+
     /// The longest deadline of what may be open, in ms.
     pub fn longest_ms(&self) -> f64 {
         self.tables.borrow().longest_ms()
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -207,6 +207,7 @@
         }
         match event {
             Event::List { full, entries } => self.list(now, full, entries),
+            Event::Settings(settings) => self.retune(settings),
             Event::ListFailed => self.list_retry = Some(now + EJECT_MS * (1.0 + self.rng.f64())),
             Event::Request(request) => self.request(now, request, actions),
             Event::Started { id, .. } => {
@@ -228,6 +229,22 @@
         }
     }
 
+    /// Other settings: what was learned and counted stays. A class that is new or changed starts at the usual
+    /// time of those that are known; its first answer tells its own.
+    fn retune(&mut self, settings: Settings) {
+        let seen = self.usual.iter().filter(|(_, seen)| *seen > 0.0);
+        let (sum, known) = seen.fold((0.0, 0.0), |(sum, n), (usual, _)| (sum + usual, n + 1.0));
+        let former = std::mem::replace(&mut self.settings, settings);
+        for (number, class) in self.settings.classes.iter().enumerate() {
+            let fresh = if known > 0.0 { sum / known } else { class.aim_ms * USUAL_OF_AIM };
+            match self.usual.get_mut(number) {
+                Some(usual) if former.classes[number] != *class => *usual = (fresh, 0.0),
+                Some(_) => {}
+                None => self.usual.push((fresh, 0.0)),
+            }
+        }
+    }
+
     /// Listed backends that requests are kept from: draining ones, and those left out for their failures.
     pub fn avoided(&self, now: Millis) -> usize {
         let left_out = |b: &Backend| match b.listed.state {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -292,6 +292,9 @@
     },
     /// Asking for the list failed; the former list stands.
     ListFailed,
+    /// Other settings hold from now on. Classes and plans keep their numbers as long as something open is of
+    /// them; a number may stand for another class afterwards.
+    Settings(Settings),
     /// A request came in.
     Request(Request),
     /// A streamed answer has begun; its deadline no longer runs.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1045,3 +1045,88 @@
     let written = *turned.lock().unwrap() + got.lock().unwrap().len() as u64;
     await_figure(at, "relay_relayed_total", written);
 }
+
+// ---- Settings that change ---------------------------------------------------------------------------------
+
+#[test]
+fn sighup_brings_other_settings_and_open_requests_keep_theirs() {
+    let (begun_to, begun) = channel();
+    let (go_on, goes_on) = channel::<()>();
+    let goes_on = Mutex::new(goes_on);
+    let count = Arc::new(Mutex::new(0));
+    let seen = count.clone();
+    let held = serve(move |m| {
+        if m.line.contains("/once") {
+            *seen.lock().unwrap() += 1;
+            let _ = begun_to.send(());
+            let _ = goes_on.lock().unwrap().recv_timeout(LONG);
+            return Play::End(String::new());
+        }
+        Play::Say(say(200, "", "ok"))
+    });
+    let mut config = operated(&[held, held]);
+    let gateway = Gateway::new(&config);
+    let at = gateway.operator();
+    let new = look(1, 1, 3000).replace("look", "new");
+    assert_eq!(gateway.ask(&new).status(), 404);
+    let mut open = gateway.open();
+    open.get_mut().write_all(post("once", "", "x").as_bytes()).unwrap();
+    begun.recv_timeout(LONG).unwrap();
+    // `once` may be repeated from now on, `order` is gone and `new` is there, before the others.
+    let classes = config["settings"]["categories"].as_array_mut().unwrap();
+    let mut added = classes[0].clone();
+    added["name"] = "new".into();
+    classes[2]["effect"] = "read_like".into();
+    classes.remove(1);
+    classes.insert(0, added);
+    reload(&gateway, &config.to_string());
+    await_figure(at, "relay_cfg_accepted_total", 1);
+    assert_eq!(gateway.ask(&new).status(), 200);
+    assert_eq!(gateway.get(2, 1).status(), 200);
+    assert_eq!(gateway.ask(&post("order", KEY, "x")).status(), 404);
+    assert_eq!(gateway.ask(&post("once", "", "x")).status(), 405);
+    // The open one may have run and must not run again, as its class was.
+    go_on.send(()).unwrap();
+    assert_eq!(read(&mut open).unwrap().status(), 502);
+    assert_eq!(*count.lock().unwrap(), 1);
+    await_figure(at, &ended("once", "faulted"), 1);
+}
+
+#[test]
+fn broken_files_leave_the_settings_whole() {
+    let (backend, _) = good();
+    let config = operated(&[backend]);
+    let gateway = Gateway::new(&config);
+    let at = gateway.operator();
+    let whole = config.to_string();
+    let changed = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut config = config.clone();
+        config["settings"]["categories"][0]["name"] = "other".into();
+        change(&mut config);
+        config.to_string()
+    };
+    let broken = [
+        String::new(),
+        whole[..whole.len() / 2].to_owned(),
+        changed(&|_| {}) + "}",
+        changed(&|c| drop(c.as_object_mut().unwrap().remove("settings"))),
+        changed(&|c| drop(c["settings"].as_object_mut().unwrap().remove("balancers"))),
+        // Not needed by this program, but it was there before.
+        changed(&|c| drop(c["settings"]["rules"].as_object_mut().unwrap().remove("unread"))),
+        changed(&|c| c["settings"]["categories"][1]["give-up-ms"] = 0.into()),
+        changed(&|c| c["settings"]["categories"][1]["give-up-ms"] = (-5).into()),
+        changed(&|c| c["settings"]["limits"]["try-limit"] = 0.into()),
+        changed(&|c| c["settings"]["limits"]["try-limit"] = (-1).into()),
+        changed(&|c| c["settings"]["categories"][1]["name"] = "other".into()),
+    ];
+    let mut first = config.clone();
+    first["settings"]["rules"]["unread"] = 1.into();
+    reload(&gateway, &first.to_string());
+    await_figure(at, "relay_cfg_accepted_total", 1);
+    for (number, text) in broken.iter().enumerate() {
+        reload(&gateway, text);
+        await_figure(at, "relay_cfg_invalid_total", number as u64 + 1);
+        assert_eq!(gateway.get(number as u64, 1).status(), 200, "file {number}");
+    }
+    await_figure(at, "relay_cfg_accepted_total", 1);
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -360,3 +360,41 @@
     assert!(rig.event(Event::Message { from: 100, body: none }).is_empty(), "there is no such gateway");
     assert!(sent(&rig.event(Event::Timer { token: (1 << 60) | id })).is_some());
 }
+
+#[test]
+fn other_settings_keep_stores_health_and_open_requests() {
+    let mut rig = Rig::new(settings());
+    let mut shared = Shared::default();
+    // Ten units of burst: nine are gone, and the last request stays open.
+    let first = rig.request(1, 2, 9.0);
+    let backend = sent(&shared.answer(&mut rig, first)).expect("inside the quota");
+    // A server fails until it is left out.
+    let bad = backend % 3 + 1;
+    for id in 100..200 {
+        let actions = rig.event(Event::Request(request(id, id)));
+        if let Some(at) = sent(&shared.answer(&mut rig, actions)) {
+            rig.outcome(id, 0, at, if at == bad { Result::Error } else { Result::Ok }, None);
+        }
+        if rig.gateway.avoided(rig.now) > 0 {
+            break;
+        }
+    }
+    let avoided = rig.gateway.avoided(rig.now);
+    assert!(avoided > 0, "some server is left out");
+    let mut other = settings();
+    other.limits.max_attempts = 1;
+    other.classes.push(Class { effect: Effect::Safe, ..other.classes[2] });
+    rig.event(Event::Settings(other));
+    assert_eq!(rig.gateway.avoided(rig.now), avoided, "health is kept");
+    // The open request is still of its class: it may have run, so it fails.
+    assert!(failed(&rig.outcome(1, 0, backend, Result::Reset, None)));
+    // The new class is served, by the one attempt that is now allowed.
+    let mut request = request(9000, 9000);
+    request.class = 3;
+    let actions = rig.event(Event::Request(request));
+    let at = sent(&shared.answer(&mut rig, actions)).expect("a class it knows now");
+    assert!(refused(&rig.outcome(9000, 0, at, Result::Full, None)).is_some(), "no second attempt");
+    // The customer's units are still gone.
+    let actions = rig.request(9001, 0, 9.0);
+    assert!(refused(&shared.answer(&mut rig, actions)).is_some(), "its store is kept");
+}
