--- a/src/bin/cherrytally-benchlink/main.rs
+++ b/src/bin/cherrytally-benchlink/main.rs
@@ -124,6 +124,7 @@
                 budget_ms: r.f64(35)?,
                 spread: r.f32(17)?,
                 repeat: r.u8(21)? & 2 != 0,
+                streams: false,
             }),
             code => return Err(format!("record at byte {}: unknown event code {code}", r.place())),
         };
--- a/src/bin/heronstage/backends.rs
+++ b/src/bin/heronstage/backends.rs
@@ -1,7 +1,8 @@
 //! Connections to backends, and attempts on them. One connection carries one request at a time.
 
-use crate::http::{Head, Reader, BODY_MOST};
+use crate::http::{Head, Reader};
 use crate::idle::IdleLimit;
+use crate::room::{Part, Short, StreamTo, Upload, HELD_MOST};
 use bytes::Bytes;
 use cherrytally::{BackendId, Result as Ended};
 use std::cell::{Cell, RefCell};
@@ -14,6 +15,178 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
+/// A backend that is silent for so long in the middle of an answer is taken to be gone.
+const SILENT: Duration = Duration::from_secs(5);
+/// A backend or client that takes nothing for so long holds its connection for nothing. Systems buffer much, and a
+/// slow one may be heard of only when a good part of that is read.
+const STUCK: Duration = Duration::from_secs(20);
+/// An answer of unknown length that takes longer to come is passed on as it comes.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// What an attempt sends, and who hears how it goes.
+pub trait Attempt {
+    /// The request, or its beginning.
+    fn message(&self, until: Instant) -> Vec<u8>;
+    /// The rest of its body, which then can't be sent again, and whether it goes in chunks.
+    fn upload(&self) -> Option<(Upload, bool)>;
+    /// The rest of the body can't be had.
+    fn short(&self, short: Short);
+    /// The rest of the body is written. Returns when the attempt times out.
+    fn whole(&self) -> Instant;
+    /// The last byte is written.
+    fn written(&self);
+    /// A large answer has begun: where it goes, unless nobody waits for it any more.
+    fn begun(&self, head: &Head) -> Option<StreamTo>;
+    /// Memory for an answer of that length, where it is known.
+    async fn room(&self, length: Option<u64>) -> Part;
+}
+
+/// An answer that came whole.
+pub struct Answered {
+    pub head: Head,
+    /// The body; none if it was passed on as it came.
+    pub body: Option<(Bytes, Part)>,
+    /// Time to the first bytes of a large answer, to the last one of others.
+    pub took: Duration,
+}
+
+#[derive(PartialEq)]
+enum Broke {
+    /// Before anything of the answer came.
+    Unanswered,
+    /// In its middle.
+    Halfway,
+    /// The client takes no more of it.
+    Left,
+}
+
+enum Uploaded {
+    Whole,
+    /// The backend answers before it has the whole body.
+    Answered,
+    Broken,
+    Short(Short),
+}
+
+/// Passes on the rest of a body, as fast as both sides go.
+async fn upload_rest(line: &mut Line, mut upload: Upload, chunked: bool) -> Uploaded {
+    loop {
+        let piece = tokio::select! {
+            piece = upload.piece() => piece,
+            // Its end counts as much: nothing more can be written.
+            _ = line.reader.peek_head() => {
+                tokio::task::spawn_local(upload.drain());
+                return Uploaded::Answered;
+            }
+        };
+        let piece = match piece {
+            Ok(piece) => piece,
+            Err(short) => return Uploaded::Short(short),
+        };
+        let last = piece.is_none();
+        let bytes = match piece {
+            Some(piece) if !chunked => piece,
+            Some(piece) if piece.is_empty() => continue,
+            Some(piece) => [format!("{:x}\r\n", piece.len()).as_bytes(), &piece, b"\r\n"].concat().into(),
+            None if chunked => Bytes::from_static(b"0\r\n\r\n"),
+            None => Bytes::new(),
+        };
+        let start = Instant::now();
+        if !matches!(timeout_at(start + STUCK, line.reader.io.write_all(&bytes)).await, Ok(Ok(()))) {
+            tokio::task::spawn_local(upload.drain());
+            return Uploaded::Broken;
+        }
+        upload.held_up(start.elapsed());
+        if last {
+            return Uploaded::Whole;
+        }
+    }
+}
+
+/// What a backend says that does not wait for the whole body: with the rest unwritten nothing has run.
+async fn answered_early(line: &mut Line) -> (Ended, Option<Answered>) {
+    let turned_away = line.reader.take_head().is_ok_and(|head| head.turned_away);
+    (if turned_away { Ended::Full } else { Ended::ConnectFailed }, None)
+}
+
+/// Takes in an answer: whole if it is small, else passed on as it comes. None if it is not there in time.
+async fn receive(
+    reader: &mut Reader<TcpStream>, attempt: &impl Attempt, until: Instant, written: Instant,
+) -> Result<Option<(Answered, bool)>, Broke> {
+    let broke = |reader: &Reader<TcpStream>| if reader.begun() { Broke::Halfway } else { Broke::Unanswered };
+    let (status, length) = match timeout_at(until, reader.peek_head()).await {
+        Ok(Ok(head)) => (head.status, head.length),
+        Ok(Err(_)) => return Err(broke(reader)),
+        Err(_) => return Ok(None),
+    };
+    let Ok(room) = timeout_at(until, attempt.room(length)).await else { return Ok(None) };
+    let gather = match (status, length) {
+        (200, Some(length)) if length > HELD_MOST as u64 => Instant::now(),
+        (200, None) => until.min(Instant::now() + GATHER),
+        _ => until,
+    };
+    let large = gather < until;
+    let first = if large && length.is_some() {
+        // The first bytes decide when a large answer is there.
+        match timeout_at(until, reader.piece()).await {
+            Ok(Ok(Some(piece))) => piece,
+            Ok(_) => return Err(Broke::Halfway),
+            Err(_) => return Ok(None),
+        }
+    } else {
+        match timeout_at(gather, reader.held(HELD_MOST)).await {
+            Ok(Ok(Some(body))) => {
+                let head = reader.take_head().map_err(|_| Broke::Halfway)?;
+                let keep = head.keep;
+                return Ok(Some((
+                    Answered { head, body: Some((body, room)), took: written.elapsed() },
+                    keep,
+                )));
+            }
+            Ok(Ok(None)) if status == 200 => reader.held_so_far(),
+            Err(_) if large => match reader.held_so_far() {
+                so_far if !so_far.is_empty() => so_far,
+                _ => match timeout_at(until, reader.piece()).await {
+                    Ok(Ok(piece)) => piece.unwrap_or_default(),
+                    Ok(Err(_)) => return Err(Broke::Halfway),
+                    Err(_) => return Ok(None),
+                },
+            },
+            Ok(_) => return Err(Broke::Halfway),
+            Err(_) => return Ok(None),
+        }
+    };
+    let took = written.elapsed();
+    let head = reader.take_head().map_err(|_| Broke::Halfway)?;
+    let Some(to) = attempt.begun(&head) else { return Err(Broke::Left) };
+    let mut piece = Some(first).filter(|first| !first.is_empty());
+    loop {
+        if let Some(piece) = piece.take() {
+            match timeout_at(Instant::now() + STUCK, to.send(Ok(piece))).await {
+                Ok(Ok(())) => {}
+                _ => return Err(Broke::Left),
+            }
+        }
+        let next = tokio::select! {
+            next = timeout_at(Instant::now() + SILENT, reader.piece()) => next,
+            () = to.closed() => return Err(Broke::Left),
+        };
+        match next {
+            Ok(Ok(Some(next))) => piece = Some(next),
+            Ok(Ok(None)) => break,
+            _ => {
+                // The client must see that it is not whole.
+                let broken = std::io::Error::from(ErrorKind::UnexpectedEof);
+                let _ = timeout_at(Instant::now() + STUCK, to.send(Err(broken))).await;
+                return Err(Broke::Halfway);
+            }
+        }
+    }
+    drop(room);
+    let keep = head.keep;
+    Ok(Some((Answered { head, body: None, took }, keep)))
+}
+
 /// Open connections, counted until they are dropped.
 struct Held(Rc<Cell<usize>>);
 
@@ -67,10 +240,10 @@
     }
 
     /// Sends one request and waits for its answer. Its connection is closed before this returns, unless the
-    /// answer came whole; dropping the future closes it too. `written` is called once the last byte is out.
+    /// answer came whole; dropping the future closes it too.
     pub async fn attempt(
-        &self, backend: BackendId, addr: SocketAddr, message: &[u8], until: Instant, written: impl FnOnce(),
-    ) -> (Ended, Option<(Head, Bytes)>) {
+        &self, backend: BackendId, addr: SocketAddr, attempt: &impl Attempt, until: Instant,
+    ) -> (Ended, Option<Answered>) {
         let kept = self.reuse(backend);
         let idle = kept.as_ref().map(|line| line.used.elapsed());
         let line = match kept {
@@ -79,31 +252,46 @@
         };
         let Some(mut line) = line else { return (Ended::ConnectFailed, None) };
         // A request whose last byte was not written can't have begun; after that it may have.
-        match timeout_at(until, line.reader.io.write_all(message)).await {
-            Ok(Ok(())) => written(),
+        match timeout_at(until, line.reader.io.write_all(&attempt.message(until))).await {
+            Ok(Ok(())) => {}
             _ => return (Ended::ConnectFailed, None),
         }
-        let (head, body) = match timeout_at(until, line.reader.answer(BODY_MOST)).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(_)) => {
-                if let Some(idle) = idle.filter(|_| !line.reader.begun()) {
+        let mut until = until;
+        if let Some((upload, chunked)) = attempt.upload() {
+            match upload_rest(&mut line, upload, chunked).await {
+                Uploaded::Whole => {}
+                Uploaded::Answered => return answered_early(&mut line).await,
+                Uploaded::Broken => return (Ended::ConnectFailed, None),
+                Uploaded::Short(short) => {
+                    attempt.short(short);
+                    return (Ended::Cancelled, None);
+                }
+            }
+            until = attempt.whole();
+        }
+        attempt.written();
+        let written = Instant::now();
+        let (answered, keep) = match receive(&mut line.reader, attempt, until, written).await {
+            Ok(Some(answered)) => answered,
+            Ok(None) => return (Ended::Timeout, None),
+            Err(broke) => {
+                if let Some(idle) = idle.filter(|_| broke == Broke::Unanswered) {
                     self.idle_limit.broke_after(idle);
                 }
-                return (Ended::Reset, None);
+                return (if broke == Broke::Left { Ended::Cancelled } else { Ended::Reset }, None);
             }
-            Err(_) => return (Ended::Timeout, None),
         };
-        if head.keep {
+        if keep {
             line.used = Instant::now();
             self.idle.borrow_mut().entry(backend).or_default().push(line);
         }
-        let ended = match head.status {
+        let ended = match answered.head.status {
             200 => Ended::Ok,
             // Only these two with this header prove that the request never ran.
-            503 | 504 if head.turned_away => Ended::Full,
+            503 | 504 if answered.head.turned_away => Ended::Full,
             _ => Ended::Error,
         };
-        (ended, Some((head, body)))
+        (ended, Some(answered))
     }
 
     /// The connection used last, as it is the warmest, if one is sound.
--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -33,6 +33,7 @@
     pub places: Places,
     pub seed: u64,
     pub sockets: usize,
+    pub memory_mb: usize,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
@@ -104,6 +105,7 @@
 #[derive(Deserialize)]
 struct Machine {
     sockets: usize,
+    memory_mb: usize,
 }
 
 #[derive(Deserialize)]
@@ -342,6 +344,7 @@
         places: Places { discovery: file.discovery, counter: file.counter, patience },
         seed,
         sockets: file.limits.sockets,
+        memory_mb: file.limits.memory_mb,
         peer_listen: file.peer_listen,
         peers: file.peers,
         peers_all: file.peers_all,
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -1,12 +1,13 @@
 //! Drives the decision module: turns what happens into its events and carries out its actions. It alone
 //! answers a request, and answers it once.
 
-use crate::backends::Backends;
+use crate::backends::{Answered, Attempt, Backends};
 use crate::config::{Registry, ServerState};
 use crate::counter::{Call, Lanes};
 use crate::figures::Figures;
 use crate::http::Head;
 use crate::peers::Peers;
+use crate::room::{Budget, Content, More, Part, Short, StreamTo, Upload};
 use bytes::Bytes;
 use cherrytally::{
     Action, BackendId, Event, Gateway, Listed, Load, Outcome, Request, RequestId, Result as Ended, Settings,
@@ -21,11 +22,14 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// A final answer leaves so long before the client's time is up: it has a way to go, and the request had one.
 const MARGIN_MS: f64 = 10.0;
 
+/// How often a request whose body streams is looked at: its end is not known before that.
+const LOOK: Duration = Duration::from_secs(1);
+
 /// Unix time in ms that never goes back: gateways name the counter's windows by it, and it is the clock of
 /// `started_ms`.
 struct Clock {
@@ -46,15 +50,26 @@
 
 /// A request's final answer.
 pub enum Answer {
-    Served { content_type: Option<Bytes>, body: Bytes },
-    Refused { retry_after_ms: f64 },
+    Served {
+        content_type: Option<Bytes>,
+        content: Content,
+    },
+    Refused {
+        retry_after_ms: f64,
+    },
     Failed,
+    /// The client did not send the whole body.
+    Short(Short),
 }
 
 /// What goes on to a backend, with the remaining time to be put between the two parts.
 pub struct Work {
     pub head: Vec<u8>,
     pub rest: Vec<u8>,
+    /// What is still to come of a large body, and whether it goes on in chunks.
+    pub more: Option<(Rc<More>, bool)>,
+    /// The part of the budget that the body has.
+    pub _part: Part,
 }
 
 impl Work {
@@ -81,11 +96,84 @@
     pub at: Instant,
 }
 
+/// One attempt on its way.
+struct Sending {
+    driver: Rc<Driver>,
+    id: RequestId,
+    number: usize,
+    work: Rc<Work>,
+    timeout: Duration,
+    /// When it was sent, or when its large body was whole.
+    since: Cell<Instant>,
+}
+
+impl Attempt for Sending {
+    fn message(&self, until: Instant) -> Vec<u8> {
+        self.work.message(until.saturating_duration_since(Instant::now()))
+    }
+
+    fn upload(&self) -> Option<(Upload, bool)> {
+        self.work.more.as_ref().and_then(|(more, chunked)| Some((more.take()?, *chunked)))
+    }
+
+    fn short(&self, short: Short) {
+        self.driver.short(self.id, short);
+    }
+
+    fn whole(&self) -> Instant {
+        self.since.set(Instant::now());
+        self.driver.whole(self.id, self.number, self.timeout)
+    }
+
+    fn written(&self) {
+        self.driver.figures.relayed();
+    }
+
+    fn begun(&self, head: &Head) -> Option<StreamTo> {
+        self.driver.begun(self.id, self.number, head)
+    }
+
+    async fn room(&self, length: Option<u64>) -> Part {
+        self.driver.budget.answer(length).await
+    }
+}
+
+/// A probe: an attempt of no request.
+struct Probing(String);
+
+impl Attempt for Probing {
+    fn message(&self, _: Instant) -> Vec<u8> {
+        self.0.clone().into_bytes()
+    }
+
+    fn upload(&self) -> Option<(Upload, bool)> {
+        None
+    }
+
+    fn short(&self, _: Short) {}
+
+    fn whole(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn written(&self) {}
+
+    fn begun(&self, _: &Head) -> Option<StreamTo> {
+        None
+    }
+
+    async fn room(&self, _: Option<u64>) -> Part {
+        None
+    }
+}
+
 struct Open {
     /// Taken when the final answer is given, or when the client has gone.
     answer: Option<oneshot::Sender<Answer>>,
     work: Rc<Work>,
-    ends: Instant,
+    /// When its time is up; none while its body streams.
+    ends: Option<Instant>,
+    budget: Duration,
     /// Withdraws the attempt of this number; none where it has ended.
     attempts: Vec<Option<oneshot::Sender<()>>>,
 }
@@ -123,6 +211,14 @@
     pub kinds: Vec<String>,
 }
 
+/// What carries the actions out.
+pub struct Reach {
+    pub backends: Backends,
+    pub lanes: Option<Lanes>,
+    pub peers: Option<Rc<Peers>>,
+    pub budget: Rc<Budget>,
+}
+
 /// The driver; tasks share it on one thread.
 pub struct Driver {
     inner: RefCell<Inner>,
@@ -132,6 +228,7 @@
     peers: Option<Rc<Peers>>,
     names: Names,
     figures: Rc<Figures>,
+    budget: Rc<Budget>,
     max_attempts: Cell<usize>,
     second_copies: Cell<bool>,
     discovery_heard: Cell<bool>,
@@ -139,10 +236,8 @@
 }
 
 impl Driver {
-    pub fn new(
-        settings: Settings, seed: u64, names: Names, backends: Backends, lanes: Option<Lanes>,
-        peers: Option<Rc<Peers>>, figures: Rc<Figures>,
-    ) -> Rc<Self> {
+    pub fn new(settings: Settings, seed: u64, names: Names, reach: Reach, figures: Rc<Figures>) -> Rc<Self> {
+        let Reach { backends, lanes, peers, budget } = reach;
         let clock = Clock::new();
         let (max_attempts, second_copies) =
             (settings.limits.max_attempts as usize, settings.limits.second_copies);
@@ -163,6 +258,7 @@
             peers,
             names,
             figures,
+            budget,
             max_attempts: Cell::new(max_attempts),
             second_copies: Cell::new(second_copies),
             discovery_heard: Cell::new(false),
@@ -173,17 +269,16 @@
     // ---- What happens -------------------------------------------------------------------------------------
 
     /// A request came in. Its answer comes by the receiver.
-    pub fn request(
-        self: &Rc<Self>, asked: &Asked, work: Work,
-    ) -> (RequestId, Instant, oneshot::Receiver<Answer>) {
+    pub fn request(self: &Rc<Self>, asked: &Asked, work: Work) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, receiver) = oneshot::channel();
         let passed = asked.at.elapsed().as_secs_f64() * 1000.0;
         let budget_ms = (asked.remaining_ms - passed - MARGIN_MS).max(0.0);
-        let ends = Instant::now() + Duration::from_secs_f64(budget_ms / 1000.0);
+        let (budget, streams) = (Duration::from_secs_f64(budget_ms / 1000.0), work.more.is_some());
+        let ends = Some(Instant::now() + budget).filter(|_| !streams);
         let inner = &mut *self.inner.borrow_mut();
         let id = inner.next;
         inner.next += 1;
-        let open = Open { answer: Some(answer), work: Rc::new(work), ends, attempts: Vec::new() };
+        let open = Open { answer: Some(answer), work: Rc::new(work), ends, budget, attempts: Vec::new() };
         inner.open.insert(id, open);
         let request = Request {
             id,
@@ -194,16 +289,63 @@
             budget_ms,
             spread: asked.spread,
             repeat: asked.repeat,
+            streams,
         };
         self.handle(inner, Event::Request(request));
-        (id, ends, receiver)
+        (id, receiver)
+    }
+
+    /// Waits for the final answer. The module ends a request in time; this guards against one that it would not.
+    pub async fn answer(self: &Rc<Self>, id: RequestId, mut answer: oneshot::Receiver<Answer>) -> Answer {
+        loop {
+            let ends = self.inner.borrow().open.get(&id).and_then(|open| open.ends);
+            let by = ends.map_or_else(|| Instant::now() + LOOK, |ends| ends + Duration::from_millis(5));
+            match timeout_at(by, &mut answer).await {
+                Ok(answer) => return answer.unwrap_or(Answer::Failed),
+                Err(_) if ends.is_none() => {}
+                Err(_) => {
+                    self.leave(id);
+                    return Answer::Failed;
+                }
+            }
+        }
+    }
+
+    /// The body of a request did not come whole: it is the client's fault.
+    fn short(self: &Rc<Self>, id: RequestId, short: Short) {
+        self.drop_request(id, Answer::Short(short));
+    }
+
+    /// The body of a request is whole at its backend: its time runs from now on.
+    fn whole(self: &Rc<Self>, id: RequestId, attempt: usize, timeout: Duration) -> Instant {
+        let inner = &mut *self.inner.borrow_mut();
+        let until = Instant::now() + timeout;
+        let Some(open) = inner.open.get_mut(&id) else { return until };
+        let ends = Instant::now() + open.budget;
+        open.ends = Some(ends);
+        self.handle(inner, Event::Whole { id, attempt: attempt as u8 });
+        until.min(ends)
+    }
+
+    /// A large answer has begun and is passed on as it comes, if the client still waits.
+    fn begun(self: &Rc<Self>, id: RequestId, attempt: usize, head: &Head) -> Option<StreamTo> {
+        let inner = &mut *self.inner.borrow_mut();
+        let open = inner.open.get_mut(&id).filter(|open| open.answer.is_some())?;
+        let (to, content) = Content::stream(head.length);
+        open.give(Answer::Served { content_type: head.content_type.clone(), content });
+        self.handle(inner, Event::Started { id, attempt: attempt as u8 });
+        Some(to)
     }
 
     /// The client has gone, or its time is up: nothing more is sent for the request.
     pub fn leave(self: &Rc<Self>, id: RequestId) {
+        self.drop_request(id, Answer::Failed);
+    }
+
+    fn drop_request(self: &Rc<Self>, id: RequestId, answer: Answer) {
         let inner = &mut *self.inner.borrow_mut();
         if let Some(open) = inner.open.get_mut(&id).filter(|open| open.answer.is_some()) {
-            open.give(Answer::Failed);
+            open.give(answer);
             if !open.out() {
                 inner.open.remove(&id);
             }
@@ -219,15 +361,21 @@
 
     fn attempt_ended(
         self: &Rc<Self>, id: RequestId, attempt: usize, backend: BackendId, took_ms: f64, result: Ended,
-        answer: Option<(Head, Bytes)>,
+        answer: Option<Answered>,
     ) {
         let inner = &mut *self.inner.borrow_mut();
         let Some(open) = inner.open.get_mut(&id) else { return };
         open.attempts[attempt] = None;
         let mut units = None;
-        if let (Some((head, body)), true) = (answer, result == Ended::Ok && open.answer.is_some()) {
-            units = head.units;
-            open.give(Answer::Served { content_type: head.content_type, body });
+        if let Some(Answered { head, body, .. }) = answer.filter(|_| result == Ended::Ok) {
+            if let Some((body, part)) = body {
+                // One that comes when the client has gone settles nothing.
+                units = head.units.filter(|_| open.answer.is_some());
+                let content = Content::Whole { bytes: body, _part: part };
+                open.give(Answer::Served { content_type: head.content_type, content });
+            } else {
+                units = head.units;
+            }
         }
         let ended = open.answer.is_none();
         if ended && !open.out() {
@@ -405,11 +553,14 @@
         let Some(open) = inner.open.get_mut(&id) else { return Some(0) };
         let number = open.attempts.len();
         let now = Instant::now();
-        let until = open.ends.min(now + duration(timeout_ms));
+        let timeout = duration(timeout_ms);
+        let until = open.ends.map_or(now + timeout, |ends| ends.min(now + timeout));
         let known = inner.fleet.get(&backend);
         let may = open.answer.is_some()
             && number < self.max_attempts.get()
             && until > now
+            // A large body can't be sent again once a part of it was.
+            && open.work.more.as_ref().is_none_or(|(more, _)| more.whole())
             && (self.second_copies.get() || !open.out());
         let Some(known) = known.filter(|_| may) else {
             open.attempts.push(None);
@@ -417,18 +568,19 @@
         };
         let (cancel, mut cancelled) = oneshot::channel();
         open.attempts.push(Some(cancel));
-        let (driver, work, addr) = (self.clone(), open.work.clone(), known.addr);
+        let since = Cell::new(now);
+        let sending = Sending { driver: self.clone(), id, number, work: open.work.clone(), timeout, since };
+        let addr = known.addr;
         tokio::task::spawn_local(async move {
-            let message = work.message(until - now);
+            let driver = &sending.driver;
             let (result, answer) = tokio::select! {
                 biased;
-                ended = driver.backends.attempt(backend, addr, &message, until, || driver.figures.relayed()) => {
-                    ended
-                }
+                ended = driver.backends.attempt(backend, addr, &sending, until) => ended,
                 // Dropping the attempt closes its connection.
                 _ = &mut cancelled => (Ended::Cancelled, None),
             };
-            let took_ms = now.elapsed().as_secs_f64() * 1000.0;
+            let took = answer.as_ref().filter(|answer| answer.body.is_none()).map(|answer| answer.took);
+            let took_ms = took.unwrap_or_else(|| sending.since.get().elapsed()).as_secs_f64() * 1000.0;
             driver.attempt_ended(id, number, backend, took_ms, result, answer);
         });
         None
@@ -439,9 +591,9 @@
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let now = Instant::now();
-            let message = format!("GET /health/live HTTP/1.1\r\nHost: {addr}\r\n\r\n");
+            let probing = Probing(format!("GET /health/live HTTP/1.1\r\nHost: {addr}\r\n\r\n"));
             let until = now + driver.backends.connect_time();
-            let (result, _) = driver.backends.attempt(backend, addr, message.as_bytes(), until, || {}).await;
+            let (result, _) = driver.backends.attempt(backend, addr, &probing, until).await;
             let took_ms = now.elapsed().as_secs_f64() * 1000.0;
             let event = Event::Probed { backend, result, took_ms, load: Load::default() };
             driver.handle(&mut driver.inner.borrow_mut(), event);
--- a/src/bin/heronstage/http.rs
+++ b/src/bin/heronstage/http.rs
@@ -4,18 +4,20 @@
 use std::io::{self, ErrorKind};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
-/// Largest body of a message, as the protocol has it.
-pub const BODY_MOST: usize = 64 * 1024;
 /// Largest head or chunk line of an answer.
 const HEAD_MOST: usize = 16 * 1024;
 
 /// Room for one read: a usual answer fits in.
 const READ: usize = 2048;
+/// And in a large body, where each read is a call to the system.
+const READ_LARGE: usize = 32 * 1024;
 
 /// What the gateway needs of an answer's head.
 #[derive(Debug)]
 pub struct Head {
     pub status: u16,
+    /// The body's length, where the head tells.
+    pub length: Option<u64>,
     /// The connection may carry another request.
     pub keep: bool,
     /// The backend says that the request never ran.
@@ -27,8 +29,12 @@
 
 /// What is left of the body that is being read.
 enum Left {
-    Length(usize),
+    Length(u64),
+    /// The line that begins a chunk.
     Chunk,
+    /// What is left of a chunk, and the end of its line.
+    InChunk(u64),
+    ChunkEnd,
     Trailers,
     Close,
     Done,
@@ -64,7 +70,10 @@
 
     async fn fill(&mut self) -> io::Result<()> {
         // Left to itself the buffer grows by 64 bytes, and each is a call to the system.
-        self.buf.reserve(READ);
+        self.buf.reserve(match self.left {
+            Left::Length(left) | Left::InChunk(left) => (left as usize).clamp(READ, READ_LARGE),
+            _ => READ,
+        });
         match self.io.read_buf(&mut self.buf).await? {
             0 => Err(ErrorKind::UnexpectedEof.into()),
             _ => Ok(()),
@@ -94,10 +103,15 @@
         loop {
             match self.left {
                 Left::Done | Left::Length(0) => return Ok(None),
-                Left::Length(left) if !self.buf.is_empty() => {
-                    let piece = self.buf.split_to(left.min(self.buf.len())).freeze();
-                    self.left = Left::Length(left - piece.len());
-                    return Ok(Some(piece));
+                Left::Length(left) | Left::InChunk(left) if !self.buf.is_empty() => {
+                    let piece = self.buf.split_to((left.min(READ_LARGE as u64) as usize).min(self.buf.len()));
+                    let rest = left - piece.len() as u64;
+                    self.left = match self.left {
+                        Left::Length(_) => Left::Length(rest),
+                        _ if rest == 0 => Left::ChunkEnd,
+                        _ => Left::InChunk(rest),
+                    };
+                    return Ok(Some(piece.freeze()));
                 }
                 Left::Chunk => match httparse::parse_chunk_size(&self.buf).map_err(|_| bad("bad chunk"))? {
                     httparse::Status::Complete((used, 0)) => {
@@ -105,19 +119,21 @@
                         self.left = Left::Trailers;
                         continue;
                     }
-                    httparse::Status::Complete((_, size)) if size > 16 * BODY_MOST as u64 => {
-                        return Err(bad("chunk too long"));
-                    }
-                    httparse::Status::Complete((used, size))
-                        if self.buf.len() >= used + size as usize + 2 =>
-                    {
+                    httparse::Status::Complete((used, size)) => {
                         self.buf.advance(used);
-                        let piece = self.buf.split_to(size as usize).freeze();
-                        self.buf.advance(2);
-                        return Ok(Some(piece));
+                        self.left = Left::InChunk(size);
+                        continue;
                     }
-                    _ => {}
+                    httparse::Status::Partial if self.buf.len() > HEAD_MOST => return Err(bad("bad chunk")),
+                    httparse::Status::Partial => {}
                 },
+                Left::ChunkEnd if self.buf.len() >= 2 => {
+                    if &self.buf.split_to(2)[..] != b"\r\n" {
+                        return Err(bad("bad chunk"));
+                    }
+                    self.left = Left::Chunk;
+                    continue;
+                }
                 Left::Trailers => {
                     if let Some(end) = self.buf.windows(2).position(|w| w == b"\r\n") {
                         self.buf.advance(end + 2);
@@ -131,7 +147,7 @@
                     }
                 }
                 Left::Close if !self.buf.is_empty() => return Ok(Some(self.buf.split().freeze())),
-                Left::Length(_) | Left::Close => {}
+                Left::Length(_) | Left::InChunk(_) | Left::ChunkEnd | Left::Close => {}
             }
             match self.fill().await {
                 Err(e) if e.kind() == ErrorKind::UnexpectedEof && matches!(self.left, Left::Close) => {
@@ -144,24 +160,50 @@
 
     /// A whole answer of at most `most` bytes.
     pub async fn answer(&mut self, most: usize) -> io::Result<(Head, Bytes)> {
-        if self.head.is_none() {
-            self.head = Some(self.head().await?);
+        self.peek_head().await?;
+        match self.held(most).await? {
+            Some(body) => Ok((self.head.take().ok_or_else(|| bad("no head"))?, body)),
+            None => Err(bad("body too long")),
         }
+    }
+
+    /// The next answer's head, which `answer` or `take_head` still gives.
+    pub async fn peek_head(&mut self) -> io::Result<&Head> {
+        let head = match self.head.take() {
+            Some(head) => head,
+            None => self.head().await?,
+        };
+        Ok(self.head.insert(head))
+    }
+
+    /// The head that was peeked at.
+    pub fn take_head(&mut self) -> io::Result<Head> {
+        self.head.take().ok_or_else(|| bad("no head"))
+    }
+
+    /// The whole body, if it has at most `most` bytes. Else what has come of it is left for `held_so_far`.
+    pub async fn held(&mut self, most: usize) -> io::Result<Option<Bytes>> {
         while let Some(piece) = self.piece().await? {
             self.body.extend_from_slice(&piece);
             if self.body.len() > most {
-                return Err(bad("body too long"));
+                return Ok(None);
             }
         }
-        let head = self.head.take().ok_or_else(|| bad("no head"))?;
-        Ok((head, self.body.split().freeze()))
+        Ok(Some(self.body.split().freeze()))
+    }
+
+    /// What `held` took in of a body that is not whole.
+    pub fn held_so_far(&mut self) -> Bytes {
+        self.body.split().freeze()
     }
 }
 
 fn parse_head(buf: &[u8]) -> io::Result<Option<(Head, Left, usize)>> {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut response = httparse::Response::new(&mut headers);
-    let used = match response.parse(buf) {
+    let mut parser = httparse::ParserConfig::default();
+    parser.allow_obsolete_multiline_headers_in_responses(true);
+    let used = match parser.parse_response(&mut response, buf) {
         Ok(httparse::Status::Complete(used)) => used,
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(bad("no HTTP answer")),
@@ -169,6 +211,7 @@
     let status = response.code.unwrap_or(0);
     let mut head = Head {
         status,
+        length: None,
         keep: response.version == Some(1),
         turned_away: false,
         units: None,
@@ -179,7 +222,7 @@
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
         let named = |name: &str| header.name.eq_ignore_ascii_case(name);
         if named("content-length") {
-            let value = value.parse::<usize>().map_err(|_| bad("bad content length"))?;
+            let value = value.parse::<u64>().map_err(|_| bad("bad content length"))?;
             if length.is_some_and(|l| l != value) {
                 return Err(bad("two content lengths"));
             }
@@ -211,5 +254,8 @@
             Left::Close
         }
     };
+    if let Left::Length(length) = left {
+        head.length = Some(length);
+    }
     Ok(Some((head, left, used)))
 }
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -10,14 +10,16 @@
 mod idle;
 mod operator;
 mod peers;
+mod room;
 mod seldom;
 mod server;
 mod tables;
 
 use backends::Backends;
 use config::{Config, Places};
-use driver::{Driver, Names};
+use driver::{Driver, Names, Reach};
 use figures::Figures;
+use room::Budget;
 use server::Server;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -94,8 +96,10 @@
     let mut settings = config.settings;
     let (figures, mut tables) = (Rc::new(Figures::default()), Tables::default());
     tables.take(&config.classes, &config.plans, &mut settings, &figures)?;
+    let budget = Rc::new(Budget::new(config.memory_mb));
     let lanes = counter.map(|_| lanes);
-    let driver = Driver::new(settings, config.seed, names, backends, lanes, peers.clone(), figures.clone());
+    let reach = Reach { backends, lanes, peers: peers.clone(), budget: budget.clone() };
+    let driver = Driver::new(settings, config.seed, names, reach, figures.clone());
     if let Some(addr) = counter {
         counter::spawn(ends, addr, &places_now, &driver);
     }
@@ -115,7 +119,7 @@
         }
     });
     let free = Arc::new(Semaphore::new(places));
-    let server = Server::new(driver.clone(), tables, figures.clone(), free.clone());
+    let server = Server::new(driver.clone(), tables, figures.clone(), budget, free.clone());
     tokio::task::spawn_local(reload(hangup, config.raw, moves, figures, server.clone()));
     tracing::info!("listening on {}", listener.local_addr().map_err(|e| e.to_string())?);
     let accepting = server.clone();
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -3,13 +3,12 @@
 use crate::config::Config;
 use crate::driver::{Answer, Asked, Driver, Work};
 use crate::figures::{End, Figures, Present};
-use crate::http::BODY_MOST;
+use crate::room::{Budget, Content, More, Part, Short, Upload, BODY_MOST, HELD_MOST};
 use crate::seldom::Seldom;
 use crate::tables::{Class, Tables};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cherrytally::RequestId;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, ALLOW, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,8 +16,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
@@ -27,12 +28,16 @@
 /// A client that has not sent a whole head by then loses its connection, idle or not. Anyone may connect and
 /// say nothing, and is owed a close within 3 s; a client's idle connection may be closed after 2 s.
 const HEAD_TIME: Duration = Duration::from_millis(2500);
-/// And a request must be whole so long after its connection came up, or after its head where others came
-/// before it on the connection: as with the head, an answer is owed within 3 s, whatever wait is stated.
+/// And a body must have come, or be coming at a fair pace, so long after its connection came up, or after its head
+/// where others came before it on the connection: as with the head, an answer is owed within 3 s.
 const WHOLE_TIME: Duration = Duration::from_millis(2750);
 /// So long after a drain began connections are closed between requests. Whatever asks before has its answer or
 /// is 2 s old when the front may expect the last one gone, 4 s after the call.
 const DRAIN_IDLE: Duration = Duration::from_millis(1750);
+/// A body waits so long for room in the budget.
+const ROOM_TIME: Duration = Duration::from_millis(1500);
+/// What is read from a client at once, and the longest head.
+const READ: usize = 16 * 1024;
 /// Longest wait that a client may state.
 const REMAINING_MOST_MS: u64 = 3_600_000;
 /// A customer's number stays below this.
@@ -45,6 +50,7 @@
     figures: Rc<Figures>,
     /// Requests taken in and not yet ended.
     open: Cell<usize>,
+    budget: Rc<Budget>,
     drain: watch::Sender<Drain>,
     busy: Cell<usize>,
     /// Places for connections that are free.
@@ -72,7 +78,42 @@
     }
 }
 
-type Reply = Response<Full<Bytes>>;
+/// An answer's body, and the request as long as it streams.
+pub struct Replied {
+    content: Content,
+    ticket: Option<Ticket>,
+}
+
+impl Body for Replied {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        let frame = ready!(Pin::new(&mut self.content).poll_frame(cx));
+        // With the last bytes of a known length nobody asks for more.
+        let last = match &frame {
+            Some(Ok(_)) if self.content.size_hint().exact() != Some(0) => None,
+            Some(Ok(_)) | None => Some(End::Fulfilled),
+            Some(Err(_)) => Some(End::Faulted),
+        };
+        if let Some((end, mut ticket)) = last.and_then(|end| Some((end, self.ticket.take()?))) {
+            ticket.end(Some(end));
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.content.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.content.size_hint()
+    }
+}
+
+type Reply = Response<Replied>;
 
 /// What is wrong with a request. It is answered with neither 429 nor 503: those promise that trying again is
 /// harmless.
@@ -83,6 +124,16 @@
     allow: Option<Method>,
 }
 
+impl From<Short> for Fault {
+    fn from(short: Short) -> Self {
+        match short {
+            Short::TooLarge => Fault::new(StatusCode::PAYLOAD_TOO_LARGE, "body over 40 MiB\n"),
+            Short::Broken => Fault::new(StatusCode::BAD_REQUEST, "body not whole\n"),
+            Short::Slow => Fault::new(StatusCode::REQUEST_TIMEOUT, "body not whole in time\n"),
+        }
+    }
+}
+
 impl Fault {
     fn new(status: StatusCode, text: &'static str) -> Self {
         Fault { status, text, allow: None }
@@ -96,40 +147,48 @@
     }
 }
 
-/// Counts a request as long as its answer is not made; tells the driver if the client goes first.
-struct Ticket<'a> {
-    server: &'a Server,
-    open: Option<RequestId>,
+/// Counts a request as long as its answer is not given; tells the driver if the client goes first.
+struct Ticket {
+    server: Rc<Server>,
+    open: Option<(RequestId, Rc<Class>)>,
 }
 
-impl Ticket<'_> {
-    fn open(&mut self, id: RequestId) {
+impl Ticket {
+    fn new(server: &Rc<Server>) -> Self {
+        server.busy.set(server.busy.get() + 1);
+        Ticket { server: server.clone(), open: None }
+    }
+
+    fn open(&mut self, id: RequestId, class: Rc<Class>) {
         self.server.open.set(self.server.open.get() + 1);
-        self.open = Some(id);
+        self.open = Some((id, class));
     }
 
-    /// The request has its final answer.
-    fn end(&mut self) -> Option<RequestId> {
-        let open = self.open.take();
-        self.server.open.set(self.server.open.get() - usize::from(open.is_some()));
-        open
+    /// The request has its final answer, or its client has gone: that counts nowhere.
+    fn end(&mut self, end: Option<End>) {
+        let Some((id, class)) = self.open.take() else { return };
+        self.server.open.set(self.server.open.get() - 1);
+        match end {
+            Some(end) => class.ends.count(end),
+            None => self.server.driver.leave(id),
+        }
     }
 }
 
-impl Drop for Ticket<'_> {
+impl Drop for Ticket {
     fn drop(&mut self) {
         self.server.busy.set(self.server.busy.get() - 1);
-        if let Some(id) = self.end() {
-            self.server.driver.leave(id);
-        }
+        self.end(None);
     }
 }
 
 impl Server {
-    pub fn new(driver: Rc<Driver>, tables: Tables, figures: Rc<Figures>, places: Arc<Semaphore>) -> Rc<Self> {
+    pub fn new(
+        driver: Rc<Driver>, tables: Tables, figures: Rc<Figures>, budget: Rc<Budget>, places: Arc<Semaphore>,
+    ) -> Rc<Self> {
         let (tables, drain) = (RefCell::new(tables), watch::Sender::new(Drain::No));
         let (open, busy) = (Cell::default(), Cell::default());
-        Rc::new(Server { driver, tables, figures, open, drain, busy, places })
+        Rc::new(Server { driver, tables, figures, open, budget, drain, busy, places })
     }
 
     /// Takes over the settings of another configuration, all or none of them. What is open goes on by the former
@@ -233,6 +292,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIME)
+            .max_buf_size(READ)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         // A client that breaks off or sends no HTTP is its own affair.
@@ -256,14 +316,11 @@
         }
     }
 
-    async fn reply(&self, request: Request<Incoming>, whole_by: Instant) -> Reply {
-        self.busy.set(self.busy.get() + 1);
-        let mut ticket = Ticket { server: self, open: None };
-        let mut reply = match self.answer(request, whole_by, &mut ticket).await {
+    async fn reply(self: &Rc<Self>, request: Request<Incoming>, whole_by: Instant) -> Reply {
+        let mut reply = match self.answer(request, whole_by, Ticket::new(self)).await {
             Ok(reply) => reply,
             Err(fault) => fault.reply(),
         };
-        ticket.end();
         // With all places taken a client is asked to go: those that wait to be accepted would starve behind
         // connections that are kept idle.
         if self.drain.borrow().closes().is_some() || self.places.available_permits() == 0 {
@@ -273,9 +330,8 @@
     }
 
     async fn answer(
-        &self, request: Request<Incoming>, whole_by: Instant, ticket: &mut Ticket<'_>,
+        &self, request: Request<Incoming>, whole_by: Instant, mut ticket: Ticket,
     ) -> Result<Reply, Fault> {
-        let at = Instant::now();
         let (parts, body) = request.into_parts();
         match parts.uri.path() {
             "/health/ready" => {
@@ -287,41 +343,51 @@
             "/health/live" => return Ok(plain(StatusCode::OK, "")),
             _ => {}
         }
-        let (asked, class) = self.read(&parts.method, &parts.uri, &parts.headers, at)?;
-        if body.size_hint().lower() > BODY_MOST as u64 {
-            return Err(Fault::new(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB\n"));
+        let (mut asked, class) = self.read(&parts.method, &parts.uri, &parts.headers)?;
+        let mut upload = Upload::new(body, whole_by);
+        let size = upload.size();
+        if size.is_some_and(|size| size > BODY_MOST) {
+            return Err(Short::TooLarge.into());
         }
-        let until = whole_by.min(at + Duration::from_secs_f64(asked.remaining_ms / 1000.0));
-        let body = match body.size_hint().exact() {
-            Some(0) => Bytes::new(),
-            _ => match timeout_at(until, Limited::new(body, BODY_MOST).collect()).await {
-                Ok(Ok(body)) => body.to_bytes(),
-                Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-                    return Err(Fault::new(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB\n"));
-                }
-                Ok(Err(_)) => return Err(Fault::new(StatusCode::BAD_REQUEST, "body not whole\n")),
-                Err(_) => return Err(Fault::new(StatusCode::REQUEST_TIMEOUT, "body not whole in time\n")),
-            },
+        let part = match size {
+            Some(0) => None,
+            // Nothing of it was read: trying again is harmless.
+            _ => timeout_at(Instant::now() + ROOM_TIME, self.budget.body(size))
+                .await
+                .map_err(|_| Fault::new(StatusCode::SERVICE_UNAVAILABLE, "no room for the body now\n"))?,
         };
-        let work = work(&class, &parts.uri, &parts.headers, &body);
-        let (id, ends, answer) = self.driver.request(&asked, work);
-        ticket.open(id);
-        // The module ends a request in time; this guards against one that it would not.
-        let answer = match timeout_at(ends + Duration::from_millis(5), answer).await {
-            Ok(answer) => answer.unwrap_or(Answer::Failed),
-            Err(_) => {
-                self.driver.leave(id);
-                Answer::Failed
+        let mut held = BytesMut::new();
+        let more = loop {
+            match upload.piece().await? {
+                None => break None,
+                Some(piece) => held.extend_from_slice(&piece),
+            }
+            if held.len() > HELD_MOST {
+                break Some(Rc::new(More::new(upload)));
             }
         };
-        class.ends.count(match answer {
-            Answer::Served { .. } => End::Fulfilled,
-            Answer::Refused { .. } => End::Throttled,
-            Answer::Failed => End::Faulted,
-        });
+        // A request's time counts from its last byte.
+        asked.at = Instant::now();
+        let length = if more.is_some() { size } else { Some(held.len() as u64) };
+        let work = work(&class, &parts.uri, &parts.headers, &held, length, more.clone(), part);
+        drop(held);
+        let (id, answer) = self.driver.request(&asked, work);
+        ticket.open(id, class);
+        let answer = self.driver.answer(id, answer).await;
+        if let Some(upload) = more.and_then(|more| more.take()) {
+            tokio::task::spawn_local(upload.drain());
+        }
         Ok(match answer {
-            Answer::Served { content_type, body } => {
-                let mut reply = Response::new(Full::new(body));
+            Answer::Served { content_type, content } => {
+                let ticket = match &content {
+                    Content::Whole { .. } => {
+                        ticket.end(Some(End::Fulfilled));
+                        None
+                    }
+                    // It ends with the stream.
+                    Content::Stream(..) => Some(ticket),
+                };
+                let mut reply = Response::new(Replied { content, ticket });
                 let content_type = content_type.and_then(|t| HeaderValue::from_maybe_shared(t).ok());
                 if let Some(content_type) = content_type {
                     reply.headers_mut().insert(CONTENT_TYPE, content_type);
@@ -329,6 +395,7 @@
                 reply
             }
             Answer::Refused { retry_after_ms } => {
+                ticket.end(Some(End::Throttled));
                 let mut reply = plain(StatusCode::TOO_MANY_REQUESTS, "refused; trying again is harmless\n");
                 if retry_after_ms > 0.0 {
                     let seconds = format!("{:.3}", retry_after_ms / 1000.0);
@@ -336,14 +403,16 @@
                 }
                 reply
             }
-            Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed; it may have run\n"),
+            Answer::Failed => {
+                ticket.end(Some(End::Faulted));
+                plain(StatusCode::BAD_GATEWAY, "failed; it may have run\n")
+            }
+            Answer::Short(short) => return Err(short.into()),
         })
     }
 
     /// Reads what a request says of itself. What is wrong with it is the client's fault, and never a refusal.
-    fn read(
-        &self, method: &Method, uri: &Uri, headers: &HeaderMap, at: Instant,
-    ) -> Result<(Asked, Rc<Class>), Fault> {
+    fn read(&self, method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<(Asked, Rc<Class>), Fault> {
         let lane = uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
         let tables = self.tables.borrow();
         let Some(class) = tables.class(lane) else {
@@ -390,14 +459,17 @@
             spread,
             repeat: text("x-resent") == Some("1"),
             remaining_ms: remaining as f64,
-            at,
+            at: Instant::now(),
         };
         Ok((asked, class))
     }
 }
 
 /// The request as a backend gets it.
-fn work(class: &Class, uri: &Uri, headers: &HeaderMap, body: &[u8]) -> Work {
+fn work(
+    class: &Class, uri: &Uri, headers: &HeaderMap, body: &[u8], length: Option<u64>, more: Option<Rc<More>>,
+    part: Part,
+) -> Work {
     let mut head = Vec::with_capacity(256);
     let mut line = |parts: &[&[u8]]| parts.iter().for_each(|part| head.extend_from_slice(part));
     let target = uri.path_and_query().map_or("/", |t| t.as_str());
@@ -415,14 +487,23 @@
             line(&[name.as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
         }
     }
-    if class.method == Method::POST || !body.is_empty() {
-        line(&[CONTENT_LENGTH.as_str().as_bytes(), b": ", body.len().to_string().as_bytes(), b"\r\n"]);
+    let chunked = length.is_none();
+    if chunked {
+        line(&[b"Transfer-Encoding: chunked\r\n"]);
+    } else if class.method == Method::POST || length != Some(0) {
+        let length = length.unwrap_or(0).to_string();
+        line(&[CONTENT_LENGTH.as_str().as_bytes(), b": ", length.as_bytes(), b"\r\n"]);
     }
-    Work { head, rest: [b"\r\n", body].concat() }
+    let rest = if chunked {
+        [b"\r\n", format!("{:x}\r\n", body.len()).as_bytes(), body, b"\r\n"].concat()
+    } else {
+        [b"\r\n", body].concat()
+    };
+    Work { head, rest, more: more.map(|more| (more, chunked)), _part: part }
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut reply = Response::new(Replied { content: Content::whole(text), ticket: None });
     *reply.status_mut() = status;
     reply
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -210,11 +210,8 @@
             Event::Settings(settings) => self.retune(settings),
             Event::ListFailed => self.list_retry = Some(now + EJECT_MS * (1.0 + self.rng.f64())),
             Event::Request(request) => self.request(now, request, actions),
-            Event::Started { id, .. } => {
-                if let Some(open) = self.requests.get_mut(&id) {
-                    open.streaming = true;
-                }
-            }
+            Event::Whole { id, attempt } => self.whole(now, id, attempt),
+            Event::Started { id, attempt } => self.started_answer(now, id, attempt),
             Event::Outcome(outcome) => self.outcome(now, outcome, actions),
             Event::Gone { id } => self.close(id, actions),
             Event::Timer { token } => match token & !TOKEN_ID {
@@ -774,10 +771,11 @@
             return;
         };
         let b = self.backends.get_mut(&backend).expect("picked from the list");
-        if b.out == 0 {
-            b.heard = now;
+        // With its body still to come it is no work yet.
+        let at_work = !request.streams;
+        if at_work {
+            b.begin(now);
         }
-        b.out += 1;
         b.cold.0 -= 1.0;
         if let Some(c) = self.customers.get_mut(&request.customer) {
             c.out += 1;
@@ -786,14 +784,14 @@
             }
         }
         let depth = f64::from(b.out);
-        open.attempts.push(Attempt { backend, sent: now, depth, live: true });
+        open.attempts.push(Attempt { backend, sent: now, depth, live: true, at_work });
         // Past its aim an answer may earn nothing: the attempt ends before. It frees a place but wastes
         // work that backends finish all the same: only where waste is priced below late failure.
         let prices = &self.settings.prices;
         let cuts = class.late_worth <= 0.0 && prices.waste < prices.late_fail;
         let cut = if cuts { open.aim_ends - now - CUT_MS - 2.0 * self.settings.tick_ms } else { left };
         actions.push(Action::Send { id, backend, timeout_ms: left.min(cut.max(1.0)) });
-        self.flow(now, 1.0, 0.0);
+        self.flow(now, f64::from(u8::from(at_work)), 0.0);
         if first {
             self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
             let keep = (-(now - self.rate_at).max(0.0) / 5000.0).exp();
@@ -802,6 +800,47 @@
         }
     }
 
+    /// The backend has the whole body now: the request's time and the attempt's begin.
+    fn whole(&mut self, now: Millis, id: RequestId, attempt: u8) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let (budget, aim) =
+            (open.request.budget_ms, self.settings.classes[open.request.class as usize].aim_ms);
+        let Some(attempt) = open.attempts.get_mut(attempt as usize) else { return };
+        if !attempt.live || attempt.at_work || open.streaming {
+            return;
+        }
+        (open.ends, open.aim_ends) = (now + budget, now + aim.min(budget));
+        (attempt.sent, attempt.at_work) = (now, true);
+        if let Some(b) = self.backends.get_mut(&attempt.backend) {
+            b.begin(now);
+            attempt.depth = f64::from(b.out);
+        }
+        self.flow(now, 1.0, 0.0);
+    }
+
+    /// The backend's work is done; what follows tells of the client's pace and the path.
+    fn started_answer(&mut self, now: Millis, id: RequestId, number: u8) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        open.streaming = true;
+        let (class, plan) = (open.request.class as usize, open.request.plan as usize);
+        let Some(attempt) = open.attempts.get_mut(number as usize) else { return };
+        if !attempt.live || !std::mem::take(&mut attempt.at_work) {
+            return;
+        }
+        let (backend, took_ms, depth) = (attempt.backend, now - attempt.sent, attempt.depth);
+        self.worked(now, class, took_ms, Result::Ok);
+        self.learn(now, backend, class, plan, Result::Ok, took_ms, depth);
+    }
+
+    /// A backend's work has ended: the averages over work in hand and answers.
+    fn worked(&mut self, now: Millis, class: usize, took_ms: f64, result: Result) {
+        self.flow(now, -1.0, f64::from(u8::from(result == Result::Ok)));
+        if matches!(result, Result::Ok | Result::Timeout) {
+            let share = took_ms / self.settings.classes[class].aim_ms.max(1.0);
+            self.late += (share.min(1.0) - self.late) * LATE_GAIN;
+        }
+    }
+
     fn outcome(&mut self, now: Millis, o: Outcome, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&o.id) else { return };
         let Some(attempt) = open.attempts.get_mut(o.attempt as usize) else { return };
@@ -809,6 +848,7 @@
             return;
         }
         let (sent, depth, backend) = (attempt.sent, attempt.depth, attempt.backend);
+        let at_work = std::mem::take(&mut attempt.at_work);
         let (class, plan) = (open.request.class as usize, open.request.plan as usize);
         if let Some(c) = self.customers.get_mut(&open.request.customer) {
             c.out = c.out.saturating_sub(1);
@@ -825,12 +865,12 @@
         if !o.result.never_ran() && open.ran.is_none() {
             open.ran = Some((sent, backend));
         }
-        self.flow(now, -1.0, f64::from(u8::from(o.result == Result::Ok)));
-        if matches!(o.result, Result::Ok | Result::Timeout) {
-            let share = (now - sent) / self.settings.classes[class].aim_ms.max(1.0);
-            self.late += (share.min(1.0) - self.late) * LATE_GAIN;
+        if at_work {
+            self.worked(now, class, now - sent, o.result);
+            self.learn(now, backend, class, plan, o.result, o.took_ms, depth);
+        } else {
+            self.judge(now, backend, plan, o.result, o.took_ms);
         }
-        self.learn(now, backend, class, plan, &o, depth);
         let open = self.requests.get_mut(&o.id).expect("seen above");
         if o.ended || open.closed {
             return self.close(o.id, actions);
@@ -852,35 +892,45 @@
     }
 
     /// What an outcome tells of the backend's pace and health.
-    fn learn(&mut self, now: Millis, backend: BackendId, class: usize, plan: usize, o: &Outcome, depth: f64) {
+    #[allow(clippy::too_many_arguments)]
+    fn learn(
+        &mut self, now: Millis, backend: BackendId, class: usize, plan: usize, result: Result, took_ms: f64,
+        depth: f64,
+    ) {
         let Some(b) = self.backends.get_mut(&backend) else { return };
         b.out = b.out.saturating_sub(1);
-        if matches!(o.result, Result::Full | Result::ConnectFailed) {
+        if result == Result::Ok && took_ms.is_finite() {
+            let took = took_ms.max(0.1);
+            let (usual, seen) = &mut self.usual[class];
+            let alone = took / ((depth + UNSEEN) / (1.0 + UNSEEN));
+            let keep = (-(now - b.learned).max(0.0) / PACE_MEMORY_MS).exp();
+            let pace = 1.0 + (b.pace - 1.0) * keep;
+            b.pace = pace + PACE_GAIN * ((alone / usual.max(0.1)).min(10.0) - pace);
+            b.learned = now;
+            *seen += 1.0;
+            *usual += (alone / pace.max(0.1) - *usual) * USUAL_GAIN.max(1.0 / *seen);
+        }
+        self.judge(now, backend, plan, result, took_ms);
+    }
+
+    /// What an outcome tells of the backend's health.
+    fn judge(&mut self, now: Millis, backend: BackendId, plan: usize, result: Result, took_ms: f64) {
+        let Some(b) = self.backends.get_mut(&backend) else { return };
+        if matches!(result, Result::Full | Result::ConnectFailed) {
             let held = now + FULL.0.max(FULL.1 * 1000.0 / self.rate.max(1.0));
             b.full_until.resize(self.settings.plans.len(), now);
-            match o.result {
+            match result {
                 Result::Full => b.full_until[plan] = held,
                 _ => b.full_until.fill(held),
             }
         }
-        match o.result {
-            Result::Ok => {
-                (b.failures, b.heard) = (0, now);
-                let took = if o.took_ms.is_finite() { o.took_ms.max(0.1) } else { return };
-                let (usual, seen) = &mut self.usual[class];
-                let alone = took / ((depth + UNSEEN) / (1.0 + UNSEEN));
-                let keep = (-(now - b.learned).max(0.0) / PACE_MEMORY_MS).exp();
-                let pace = 1.0 + (b.pace - 1.0) * keep;
-                b.pace = pace + PACE_GAIN * ((alone / usual.max(0.1)).min(10.0) - pace);
-                b.learned = now;
-                *seen += 1.0;
-                *usual += (alone / pace.max(0.1) - *usual) * USUAL_GAIN.max(1.0 / *seen);
-            }
+        match result {
+            Result::Ok => (b.failures, b.heard) = (0, now),
             Result::Full => b.heard = now,
             // Cut at its aim though the backend answered others meanwhile: the request was costly.
-            Result::Timeout if b.heard > now - o.took_ms => {}
+            Result::Timeout if b.heard > now - took_ms => {}
             Result::Error | Result::Timeout | Result::ConnectFailed | Result::Reset => {
-                let points = if o.result == Result::Reset { POINTS.1 } else { POINTS.0 };
+                let points = if result == Result::Reset { POINTS.1 } else { POINTS.0 };
                 b.failures = b.failures.saturating_add(points);
                 if b.failures >= EJECT_AFTER {
                     let times = f64::from(1u32 << ((b.failures - EJECT_AFTER) / POINTS.0).min(5));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -278,6 +278,8 @@
     pub spread: f64,
     /// True if the client marked it as a repeat.
     pub repeat: bool,
+    /// True if its body is still coming in and passes straight on: its time runs from `Whole` on.
+    pub streams: bool,
 }
 
 /// What a gateway hears.
@@ -297,6 +299,13 @@
     Settings(Settings),
     /// A request came in.
     Request(Request),
+    /// The body of a request that streams is whole at its backend. It can't be sent again.
+    Whole {
+        /// The request.
+        id: RequestId,
+        /// The attempt's number.
+        attempt: u8,
+    },
     /// A streamed answer has begun; its deadline no longer runs.
     Started {
         /// The request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 //! let entries = vec![Listed { id: 11, zone: 0, kind: 0, cell: 0, state: State::Ready, size: 1.0, started: 0.0 }];
 //! gateway.handle(0.0, Event::List { full: true, entries }, &mut actions);
 //! let request = |id| Event::Request(Request { id, customer: 5, plan: 0, class: 0, units: 3.0,
-//!     budget_ms: 2000.0, spread: 1.0, repeat: false });
+//!     budget_ms: 2000.0, spread: 1.0, repeat: false, streams: false });
 //! gateway.handle(1.0, request(1), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, backend: 11, .. })));
 //! // The store held 4 units and 1 is left: a second request of 3 units is refused at once.
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,6 +37,8 @@
     /// Requests of this gateway at the backend when it was sent, this one included.
     pub(crate) depth: f64,
     pub(crate) live: bool,
+    /// The backend works on it: it has the whole request and has not begun a streamed answer.
+    pub(crate) at_work: bool,
 }
 
 /// A request not yet ended.
@@ -94,4 +96,12 @@
         let (cold, out, pace, failures) = ((0.0, now), 0, 1.0, 0);
         Backend { listed, born, cold, out, pace, learned, heard, failures, out_until, full_until }
     }
+
+    /// One more request is its work.
+    pub(crate) fn begin(&mut self, now: Millis) {
+        if self.out == 0 {
+            self.heard = now;
+        }
+        self.out += 1;
+    }
 }
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -173,6 +173,7 @@
                     budget_ms,
                     spread: 2.0,
                     repeat: rng.bool(),
+                    streams: false,
                 }));
             }
             4..=7 => {
