Keep both processes of an upgrade within one gateway's descriptors, by notes in $TMPDIR

Each process alone may use all descriptors, so two could hold nearly double while both run. Now each writes what it holds into $TMPDIR (versioned name, a kilobyte at most, by rename, five times a second): the later one takes what is left, the earlier goes down to half as its connections end and asks clients to go meanwhile. Stale, broken and strange notes count for nothing; without the folder or the inherited listener nothing changes.

Not taken: half the places at any time where a listener is inherited.

Test: two_processes_hold_no_more_descriptors_than_one_may.

--- a/src/bin/heronstage/backends.rs
+++ b/src/bin/heronstage/backends.rs
@@ -215,7 +215,7 @@
 pub struct Backends {
     idle: RefCell<HashMap<BackendId, Vec<Line>>>,
     open: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
     connect: Cell<Duration>,
     idle_limit: IdleLimit,
 }
@@ -227,12 +227,25 @@
         Backends {
             idle: RefCell::default(),
             open: Rc::default(),
-            most,
+            most: Cell::new(most),
             connect: Cell::new(Duration::from_secs_f64(connect_ms / 1000.0)),
             idle_limit: IdleLimit::new(Duration::from_secs_f64(idle_ms / 2000.0)),
         }
     }
 
+    /// Connections open now.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Another most holds: idle connections beyond it are closed, those in use once they are idle.
+    pub fn at_most(&self, most: usize) {
+        self.most.set(most);
+        for _ in most..self.open.get() {
+            self.close_oldest();
+        }
+    }
+
     /// Takes over other times.
     pub fn retune(&self, connect_ms: f64, idle_ms: f64) {
         self.connect.set(Duration::from_secs_f64(connect_ms / 1000.0));
@@ -281,7 +294,7 @@
                 return (if broke == Broke::Left { Ended::Cancelled } else { Ended::Reset }, None);
             }
         };
-        if keep {
+        if keep && self.open.get() <= self.most.get() {
             line.used = Instant::now();
             self.idle.borrow_mut().entry(backend).or_default().push(line);
         }
@@ -308,10 +321,10 @@
     }
 
     async fn connect(&self, addr: SocketAddr, until: Instant) -> Option<Line> {
-        if self.open.get() >= self.most {
+        if self.open.get() >= self.most.get() {
             self.close_oldest();
         }
-        if self.open.get() >= self.most {
+        if self.open.get() >= self.most.get() {
             return None;
         }
         self.open.set(self.open.get() + 1);
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -479,6 +479,11 @@
         self.handle(&mut self.inner.borrow_mut(), Event::Settings(settings));
     }
 
+    /// The connections to backends.
+    pub fn backends(&self) -> &Backends {
+        &self.backends
+    }
+
     /// Closes connections that stood idle for too long.
     pub fn sweep(&self) {
         self.backends.sweep();
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -1,6 +1,7 @@
 //! One gateway on real sockets. The decisions are in the library; here are the sockets round it.
 
 mod backends;
+mod beside;
 mod config;
 mod counter;
 mod discovery;
@@ -16,6 +17,7 @@
 mod tables;
 
 use backends::Backends;
+use beside::Beside;
 use config::{Config, Places};
 use driver::{Driver, Names, Reach};
 use figures::Figures;
@@ -119,6 +121,11 @@
         }
     });
     let free = Arc::new(Semaphore::new(places));
+    if let Some(folder) = std::env::var_os("TMPDIR").filter(|_| shared) {
+        let beside =
+            Beside::new(folder.into(), config.seed, config.sockets, reserved, free.clone(), driver.clone());
+        tokio::task::spawn_local(beside.run());
+    }
     let server = Server::new(driver.clone(), tables, figures.clone(), budget, free.clone());
     tokio::task::spawn_local(reload(hangup, config.raw, moves, figures, server.clone()));
     tracing::info!("listening on {}", listener.local_addr().map_err(|e| e.to_string())?);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -946,6 +946,66 @@
     assert_eq!(new.get(customer, 1).status(), 200, "the listener outlives the old process");
 }
 
+/// Descriptors that a process holds.
+fn descriptors(child: &Child) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", child.id())).map_or(0, Iterator::count)
+}
+
+#[test]
+fn two_processes_hold_no_more_descriptors_than_one_may() {
+    let backend = serve(|_| {
+        std::thread::sleep(Duration::from_millis(300));
+        Play::Say(say(200, "", "ok"))
+    });
+    let mut config = operated(&[backend]);
+    config["limits"]["sockets"] = 140.into();
+    config["settings"]["categories"][0]["aim-ms"] = 3000.into();
+    let (listener, temporary) = (TcpListener::bind("127.0.0.1:0").unwrap(), temporary());
+    // Left by processes that were ended: broken, of another time, too long.
+    for (number, text) in
+        ["{\"started", "{\"started_ms\":1,\"written_ms\":1,\"held\":900}", &"9".repeat(100_000)]
+            .into_iter()
+            .enumerate()
+    {
+        std::fs::write(temporary.join(format!("heronstage-beside-1-{number}")), text).unwrap();
+    }
+    let old = Gateway::started(start_inheriting(&config, &listener, &temporary));
+    // Clients that take every place they get, each with a request at work.
+    let mut hold = std::collections::VecDeque::new();
+    let mut customers = 0..;
+    let mut come = |hold: &mut std::collections::VecDeque<_>, gateway: &Gateway| {
+        let mut open = gateway.open();
+        let _ = open.get_mut().write_all(look(customers.next().unwrap(), 1, 3000).as_bytes());
+        hold.push_back(open);
+        if hold.len() > 150 {
+            hold.pop_front();
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    };
+    let start = Instant::now();
+    while descriptors(&old.child) < 90 {
+        come(&mut hold, &old);
+        assert!(start.elapsed() < LONG, "never full");
+    }
+    let new = Gateway::started(start_inheriting(&config, &listener, &temporary));
+    let at = new.operator();
+    let (both, mut most) = (Instant::now(), 0);
+    while both.elapsed() < Duration::from_secs(3) {
+        come(&mut hold, &new);
+        most = most.max(descriptors(&old.child) + descriptors(&new.child));
+    }
+    assert!(most <= 140, "{most} descriptors");
+    assert_eq!(call(at, "GET /admin/health").status(), 200);
+    // With the other gone everything is there again.
+    drop((hold, old));
+    assert_eq!(new.get(1, 1).status(), 200);
+    let (start, mut hold) = (Instant::now(), std::collections::VecDeque::new());
+    while descriptors(&new.child) < 90 {
+        come(&mut hold, &new);
+        assert!(start.elapsed() < LONG, "its places are not back");
+    }
+}
+
 #[test]
 fn an_inherited_descriptor_that_is_no_socket_is_told() {
     let path = write(&calm(&[nobody()]));
