Leave operator and peer addresses to the old process until it ends

Sibling of the clients' listener: a second process that is told the same address for operators or for messages between gateways exited, as it was in use. With an inherited listener it now serves without and takes the address once it is free; alone an address in use is still a mistake that is told at once. A body that finds no room gets its 503 with Retry-After.

Not taken: SO_REUSEPORT there. Calls and messages would reach either process by chance.

Test: addresses_of_the_old_process_are_left_to_it_until_it_ends; without the change the second process ends.

--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -45,6 +45,8 @@
 const HAND_OVER: Duration = Duration::from_millis(1750);
 /// Clients of an inherited listener are taken in once requests can be served, or after so long all the same.
 const UNREADY: Duration = Duration::from_secs(5);
+/// Wait between two tries for an address that the process beside this one holds.
+const TAKEN: Duration = Duration::from_millis(100);
 /// What is open is answered so long after SIGTERM, or after the longest deadline where that is longer: the
 /// platform kills 0.7 s after it.
 const ANSWERED: Duration = Duration::from_millis(3300);
@@ -77,14 +79,19 @@
         Some(listener) => TcpListener::from_std(listener).map_err(|e| format!("RELAY_LISTEN_FD: {e}"))?,
         None => listen(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?,
     };
-    let operator = match config.operator {
-        Some(at) => Some(listen(at).map_err(|e| format!("operator {at}: {e}"))?),
-        None => None,
+    // With a process beside this one its addresses are taken until it ends; alone that is a mistake.
+    let taken = |e: &std::io::Error| shared && e.kind() == std::io::ErrorKind::AddrInUse;
+    let operator = match config.operator.map(|at| (at, listen(at))) {
+        Some((at, Err(e))) if !taken(&e) => return Err(format!("operator {at}: {e}")),
+        operator => operator.map(|(at, listener)| (at, listener.ok())),
     };
     let peers = match config.peer_listen.filter(|_| config.settings.limits.peers) {
         Some(at) => {
-            let peers = peers::Peers::bind(at, config.peers, config.peers_all).await;
-            Some(Rc::new(peers.map_err(|e| format!("peer_listen {at}: {e}"))?))
+            let peers = peers::Peers::new(at, config.peers, config.peers_all);
+            match peers.bind().await {
+                Err(e) if !taken(&e) => return Err(format!("peer_listen {at}: {e}")),
+                _ => Some(Rc::new(peers)),
+            }
         }
         None => None,
     };
@@ -138,9 +145,24 @@
         }
         accepting.accept(listener).await;
     });
-    if let Some(operator) = operator {
-        tracing::info!("operators call at {}", operator.local_addr().map_err(|e| e.to_string())?);
-        tokio::task::spawn_local(operator::run(operator, server.clone()));
+    if let Some((at, listener)) = operator {
+        let server = server.clone();
+        tokio::task::spawn_local(async move {
+            let listener = match listener {
+                Some(listener) => listener,
+                None => loop {
+                    match listen(at) {
+                        Ok(listener) => break listener,
+                        Err(_) => sleep(TAKEN).await,
+                    }
+                },
+            };
+            match listener.local_addr() {
+                Ok(at) => tracing::info!("operators call at {at}"),
+                Err(e) => tracing::warn!("operators call at {at}: {e}"),
+            }
+            operator::run(listener, server).await;
+        });
     }
 
     term.recv().await;
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -122,6 +122,8 @@
     text: &'static str,
     /// The method that the class wants.
     allow: Option<Method>,
+    /// When trying again may do better, in seconds.
+    retry_after: Option<u32>,
 }
 
 impl From<Short> for Fault {
@@ -136,13 +138,14 @@
 
 impl Fault {
     fn new(status: StatusCode, text: &'static str) -> Self {
-        Fault { status, text, allow: None }
+        Fault { status, text, allow: None, retry_after: None }
     }
 
     fn reply(self) -> Reply {
         let mut reply = plain(self.status, self.text);
         let allow = self.allow.and_then(|method| HeaderValue::try_from(method.as_str()).ok());
         reply.headers_mut().extend(allow.map(|allow| (ALLOW, allow)));
+        reply.headers_mut().extend(self.retry_after.map(|after| (RETRY_AFTER, after.into())));
         reply
     }
 }
@@ -352,9 +355,10 @@
         let part = match size {
             Some(0) => None,
             // Nothing of it was read: trying again is harmless.
-            _ => timeout_at(Instant::now() + ROOM_TIME, self.budget.body(size))
-                .await
-                .map_err(|_| Fault::new(StatusCode::SERVICE_UNAVAILABLE, "no room for the body now\n"))?,
+            _ => timeout_at(Instant::now() + ROOM_TIME, self.budget.body(size)).await.map_err(|_| Fault {
+                retry_after: Some(1),
+                ..Fault::new(StatusCode::SERVICE_UNAVAILABLE, "no room for the body now\n")
+            })?,
         };
         let mut held = BytesMut::new();
         let more = loop {
@@ -420,7 +424,12 @@
         };
         if *method != class.method {
             let allow = Some(class.method.clone());
-            return Err(Fault { status: StatusCode::METHOD_NOT_ALLOWED, text: "wrong method\n", allow });
+            return Err(Fault {
+                status: StatusCode::METHOD_NOT_ALLOWED,
+                text: "wrong method\n",
+                allow,
+                retry_after: None,
+            });
         }
         let bad = |what| Fault::new(StatusCode::BAD_REQUEST, what);
         let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -910,6 +910,14 @@
     path
 }
 
+fn await_healthy(at: SocketAddr) {
+    let start = Instant::now();
+    while call(at, "GET /admin/health").status() != 200 {
+        assert!(start.elapsed() < LONG, "never ready");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 #[test]
 fn a_second_process_takes_over_the_listener_and_loses_nothing() {
     let (backend, _) = good();
@@ -921,11 +929,8 @@
     kept.get_mut().write_all(look(0, 1, 3000).as_bytes()).unwrap();
     assert_eq!(read(&mut kept).unwrap().status(), 200);
     let new = Gateway::started(start_inheriting(&config, &listener, &temporary));
-    let (at, start) = (new.operator(), Instant::now());
-    while call(at, "GET /admin/health").status() != 200 {
-        assert!(start.elapsed() < LONG, "never ready");
-        std::thread::sleep(Duration::from_millis(20));
-    }
+    let start = Instant::now();
+    await_healthy(new.operator());
     old.signal("-TERM");
     let mut customer = 1;
     let ended = loop {
@@ -946,6 +951,43 @@
     assert_eq!(new.get(customer, 1).status(), 200, "the listener outlives the old process");
 }
 
+/// What the old process holds by itself passes to the new one when it ends, and not before.
+#[test]
+fn addresses_of_the_old_process_are_left_to_it_until_it_ends() {
+    let (backend, _) = good();
+    let (listener, temporary) = (TcpListener::bind("127.0.0.1:0").unwrap(), temporary());
+    let mut config = operated(&[backend]);
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    config["settings"]["balancers"] = 2.into();
+    config["peer_listen"] = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string().into();
+    config["peers"] = serde_json::json!([config["peer_listen"], peer.local_addr().unwrap()]);
+    let mut old = Gateway::started(start_inheriting(&config, &listener, &temporary));
+    let at = old.operator();
+    await_healthy(at);
+    config["operator"] = at.to_string().into();
+    let new = Gateway::started(start_inheriting(&config, &listener, &temporary));
+    assert_eq!(call(at, "GET /admin/health").status(), 200);
+    old.signal("-TERM");
+    assert!(old.child.wait().unwrap().success());
+    assert_eq!(new.operator(), at);
+    await_healthy(at);
+    assert_eq!(new.get(1, 1).status(), 200);
+    // The new process hears the other gateways once it has the address: asked for a customer's room, it answers.
+    let mut ask = vec![1];
+    ask.extend(5u64.to_le_bytes());
+    ask.extend(7u64.to_le_bytes());
+    ask.push(0);
+    ask.extend(1f32.to_le_bytes());
+    peer.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+    let start = Instant::now();
+    let mut answer = [0; 300];
+    while peer.recv_from(&mut answer).is_err() {
+        assert!(start.elapsed() < LONG, "never answered");
+        peer.send_to(&ask, config["peer_listen"].as_str().unwrap()).unwrap();
+    }
+    assert_eq!(answer[1], 5);
+}
+
 /// Descriptors that a process holds.
 fn descriptors(child: &Child) -> usize {
     std::fs::read_dir(format!("/proc/{}/fd", child.id())).map_or(0, Iterator::count)
