Keep each of many gateways to 12 of the servers, by lots spread evenly

Seen: of 100 gateways each sent over time to nearly all of 60 servers, about one request in ten seconds a pair.

Ruled out: stale views of the least loaded server.

At fault: pick() in src/choice.rs, which ranked all servers alike; what it last saw was forgotten before it came back. Now a server's lots at the gateways are evenly spaced, and those under a bound that gives 12 servers a gateway, or 10 gateways a server, are kept to; another is taken when they are busy, slow or failing. Up to ten gateways keep to all servers, as before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,6 +69,11 @@
 const SILENT_TIMES: f64 = 3.0;
 /// Chance added to a backend's cost, in usual times: gateways that know equally little choose differently.
 const JITTER: f64 = 0.05;
+/// Backends that a gateway keeps to, so that its connections stay open and it knows them; and how many
+/// gateways keep to each at least, so that none hangs on a few. Either is met by more, up to all.
+const KEEPS_TO: (f64, f64) = (12.0, 10.0);
+/// Cost of another backend, in usual times: it is taken when those kept to are busy, slow or failing.
+const OTHER: f64 = 1.0;
 /// Points of failures in a row after which a backend is left out.
 const EJECT_AFTER: u32 = 4;
 /// Points of a failure, and of a reset: the path breaks connections too, and a dead backend refuses the next.
@@ -232,6 +237,10 @@
         let seen = self.usual.iter().filter(|(_, seen)| *seen > 0.0);
         let (sum, known) = seen.fold((0.0, 0.0), |(sum, n), (usual, _)| (sum + usual, n + 1.0));
         let former = std::mem::replace(&mut self.settings, settings);
+        let (gateways, position) = (self.settings.gateways, self.settings.position);
+        for b in self.backends.values_mut() {
+            b.lot = lot(b.listed.id, gateways, position);
+        }
         for (number, class) in self.settings.classes.iter().enumerate() {
             let fresh = if known > 0.0 { sum / known } else { class.aim_ms * USUAL_OF_AIM };
             match self.usual.get_mut(number) {
@@ -673,13 +682,15 @@
                 && (self.cold_share(now, b).is_none() || b.cold.0 >= 1.0)
         };
         let distrust = self.distrust();
+        let kept = self.kept();
         let mut best: Option<(bool, f64, BackendId)> = None;
         for b in self.backends.values().filter(|b| allowed(b)) {
             let trial = b.failures < EJECT_AFTER || distrust || (now >= b.out_until && b.out == 0);
             let tried = open.attempts.iter().any(|a| a.backend == b.listed.id)
                 || b.full_until.get(open.request.plan as usize).is_some_and(|at| now < *at)
                 || !trial;
-            let rank = self.cost(now, b, usual) + usual * JITTER * rng.f64();
+            let other = if b.lot < kept { 0.0 } else { OTHER };
+            let rank = self.cost(now, b, usual) + usual * (other + JITTER * rng.f64());
             if best.is_none_or(|(t, r, ..)| (tried, rank) < (t, r)) {
                 best = Some((tried, rank, b.listed.id));
             }
@@ -740,6 +751,12 @@
         }
     }
 
+    /// Backends whose lot is below this are kept to.
+    fn kept(&self) -> f64 {
+        let ready = self.ready().count().max(1) as f64;
+        KEEPS_TO.0.max(KEEPS_TO.1 * ready / f64::from(self.settings.gateways.max(1))) / ready
+    }
+
     // ---- Attempts -----------------------------------------------------------------------------------------
 
     fn send(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
@@ -1004,7 +1021,8 @@
                     b.listed = entry;
                 }
                 None if entry.state != State::Gone || known => {
-                    let mut b = Backend::new(entry, start, now);
+                    let lot = lot(entry.id, self.settings.gateways, self.settings.position);
+                    let mut b = Backend::new(entry, start, now, lot);
                     b.cold.0 = self.rng.f64();
                     self.backends.insert(b.listed.id, b);
                 }
@@ -1023,6 +1041,29 @@
     }
 }
 
+/// A backend's lot at one of so many gateways, from 0 to 1. A backend's lots at them are all different and
+/// evenly spaced, and a gateway's at the backends fall by chance: below one bound each gateway finds about as
+/// many backends, and each backend exactly as many gateways.
+fn lot(backend: BackendId, gateways: u32, position: u32) -> f64 {
+    let of = u64::from(gateways.max(1));
+    let mixed = (u64::from(backend) + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    let mixed = (mixed ^ mixed >> 29).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let (start, mut step) = ((mixed >> 32) % of, mixed % of);
+    // Steps that share no factor with the number of gateways reach each lot once.
+    while gcd(step, of) != 1 {
+        step += 1;
+    }
+    ((start + step * u64::from(position)) % of) as f64 / of as f64
+}
+
+fn gcd(a: u64, b: u64) -> u64 {
+    if b == 0 {
+        a
+    } else {
+        gcd(b, a % b)
+    }
+}
+
 /// The gateway that keeps a customer's count for those who find no room at the counter.
 fn home(customer: CustomerId, gateways: u32) -> u32 {
     (customer.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33) as u32 % gateways.max(1)
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,8 @@
 /// One backend as this gateway sees it.
 pub(crate) struct Backend {
     pub(crate) listed: Listed,
+    /// Its lot at this gateway: those with the least are kept to.
+    pub(crate) lot: f64,
     /// When it started or came back, if it may be cold.
     pub(crate) born: Option<Millis>,
     /// Work it may be sent while cold, in requests, and when that was reckoned.
@@ -91,10 +93,10 @@
 }
 
 impl Backend {
-    pub(crate) fn new(listed: Listed, born: Option<Millis>, now: Millis) -> Self {
+    pub(crate) fn new(listed: Listed, born: Option<Millis>, now: Millis, lot: f64) -> Self {
         let (learned, heard, out_until, full_until) = (now, now, now, Vec::new());
         let (cold, out, pace, failures) = ((0.0, now), 0, 1.0, 0);
-        Backend { listed, born, cold, out, pace, learned, heard, failures, out_until, full_until }
+        Backend { listed, lot, born, cold, out, pace, learned, heard, failures, out_until, full_until }
     }
 
     /// One more request is its work.
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -78,18 +78,15 @@
 
     pub fn outcome(
         &mut self, id: u64, attempt: u8, backend: u32, result: Result, units: Option<f64>,
+    ) -> Vec<Action> {
+        self.outcome_after(50.0, id, attempt, backend, result, units)
+    }
+
+    pub fn outcome_after(
+        &mut self, took_ms: f64, id: u64, attempt: u8, backend: u32, result: Result, units: Option<f64>,
     ) -> Vec<Action> {
         let (ended, load) = (result == Result::Ok, Load::default());
-        self.event(Event::Outcome(Outcome {
-            id,
-            attempt,
-            backend,
-            result,
-            ended,
-            units,
-            took_ms: 50.0,
-            load,
-        }))
+        self.event(Event::Outcome(Outcome { id, attempt, backend, result, ended, units, took_ms, load }))
     }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -293,6 +293,65 @@
     assert!(to[1] >= 3, "it is used: {to:?}");
 }
 
+/// Gateways of five requests a second for 10 s, and the backends that each of them sent to, by number. Those up
+/// to `dead` refuse connections.
+fn sent_by_each(gateways: u32, backends: u32, dead: u32) -> Vec<Vec<usize>> {
+    let one = |position| {
+        let settings = Settings { gateways, position, ..open_settings() };
+        let mut rig = Rig { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
+        let entries: Vec<_> = (1..=backends).map(|id| listed(id * 7919, id % 3, State::Ready)).collect();
+        rig.event(Event::List { full: true, entries });
+        let mut to = vec![0; backends as usize + 1];
+        for id in 0..50 {
+            rig.now += 200.0;
+            let mut next = sent(&rig.event(Event::Request(request(id, id))));
+            let mut attempt = 0;
+            while let Some(backend) = next {
+                let number = backend / 7919;
+                to[number as usize] += 1;
+                let result = if number <= dead { Result::ConnectFailed } else { Result::Ok };
+                // Work differs from request to request.
+                let took = 20.0 + (id * 37 % 100) as f64;
+                next = sent(&rig.outcome_after(took, id, attempt, backend, result, None));
+                attempt += 1;
+            }
+        }
+        to
+    };
+    (0..gateways).map(one).collect()
+}
+
+#[test]
+fn each_of_many_gateways_keeps_to_a_part_of_many_backends_and_all_parts_are_used_alike() {
+    let sent = sent_by_each(100, 60, 0);
+    let pairs = sent.iter().flatten().filter(|n| **n > 0).count();
+    assert!(pairs <= 1500, "{pairs} connections at least, of 6000 that there can be");
+    for backend in 1..=60 {
+        let (all, few) =
+            (sent.iter().map(|to| to[backend]).sum::<usize>(), sent.iter().map(|to| to[backend]));
+        assert!((40..=135).contains(&all), "{all} to {backend}, 83 on average");
+        assert!(few.max() <= Some(all / 2), "it does not hang on one gateway");
+    }
+}
+
+#[test]
+fn few_gateways_keep_to_all_backends() {
+    let sent = sent_by_each(3, 30, 0);
+    let used = (1..=30).filter(|backend| sent.iter().any(|to| to[*backend] > 0)).count();
+    assert!(used >= 25, "{used} of 30");
+}
+
+#[test]
+fn those_kept_to_that_are_lost_are_made_up_for() {
+    let sent = sent_by_each(100, 60, 20);
+    let sum = |range: std::ops::RangeInclusive<usize>| {
+        sent.iter().map(|to| to[range.clone()].iter().sum::<usize>()).sum::<usize>()
+    };
+    let (lost, served) = (sum(1..=20), sum(21..=60));
+    assert!(served >= 4950, "{served} of 5000 are served by another");
+    assert!(lost <= 2000, "{lost} attempts on backends that are lost");
+}
+
 #[test]
 fn attempts_out_are_capped() {
     let mut s = open_settings();
