Give a cold server its turn by what surely is warm of an even part, however few are warm

Ruled out: a limit kept too tight. The credit would have let twice that through; it stood full, unused. The cause is pick(): a server of which nothing is known costs the usual time, and of two dozen warm ones some were just seen quicker by chance, so these won each time. In reckon_cold() the part was that of the warm alone: with none left warm each cold server would have been sent all that one gateway has.

Now the part is reckoned over those kept to with what surely is warm of each, it is at most half the multiple of what each would get of an even fleet, a server whose turn has come goes first, and the rate that a gateway just started knows is weighed by its time. Servers are gone through once, without a copy of their numbers.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -74,6 +74,8 @@
 const KEEPS_TO: (f64, f64) = (12.0, 10.0);
 /// Cost of another backend, in usual times: it is taken when those kept to are busy, slow or failing.
 const OTHER: f64 = 1.0;
+/// What a cold backend is preferred by when its turn has come, in usual times.
+const TURN: f64 = 1.0;
 /// Points of failures in a row after which a backend is left out.
 const EJECT_AFTER: u32 = 4;
 /// Points of a failure, and of a reset: the path breaks connections too, and a dead backend refuses the next.
@@ -95,6 +97,9 @@
 const EARLY_OF_AIM: f64 = 0.36;
 /// Spreads by which the number out must pass its mean to tell of a queue.
 const CHANCE: f64 = 2.0;
+/// Time over which first attempts a second are averaged, in ms, and that which counts as known at the start.
+const RATE_MS: f64 = 5000.0;
+const RATE_KNOWN_MS: f64 = 1000.0;
 /// Least time between two looks at a count for requests refused without a charge, in ms.
 const LOOK_MS: f64 = 100.0;
 /// Sent beyond the quota where that pays and the expected time stays within this share of the aim.
@@ -651,20 +656,11 @@
         self.backends.values().filter(|b| b.listed.state == State::Ready)
     }
 
-    /// Share of its capacity that a backend surely has while it may be cold.
-    fn cold_share(&self, now: Millis, backend: &Backend) -> Option<f64> {
-        let rules = &self.settings.rules;
-        let age = now - backend.born?;
-        (age < rules.warm_up_ms).then(|| {
-            let from = rules.cold_from.clamp(0.05, 1.0);
-            from + (1.0 - from) * (age / rules.warm_up_ms).clamp(0.0, 1.0)
-        })
-    }
-
     /// The best backend for the request's next attempt.
     fn pick(&mut self, now: Millis, id: RequestId) -> Option<BackendId> {
         let mut rng = self.rng.fork();
         let open = self.requests.get(&id)?;
+        let rules = &self.settings.rules;
         let usual = self.usual[open.request.class as usize].0;
         let home = match (open.ran, self.settings.classes[open.request.class as usize].effect) {
             (Some((_, backend)), Effect::Keyed { group, .. }) => {
@@ -679,7 +675,7 @@
                     Group::Zone => b.listed.zone == zone,
                     Group::Cell => b.listed.cell == cell && b.listed.zone == zone,
                 })
-                && (self.cold_share(now, b).is_none() || b.cold.0 >= 1.0)
+                && (cold_share(rules, now, b).is_none() || b.cold.0 >= 1.0)
         };
         let distrust = self.distrust();
         let kept = self.kept();
@@ -689,7 +685,9 @@
             let tried = open.attempts.iter().any(|a| a.backend == b.listed.id)
                 || b.full_until.get(open.request.plan as usize).is_some_and(|at| now < *at)
                 || !trial;
-            let other = if b.lot < kept { 0.0 } else { OTHER };
+            // A cold one's turn has come: it is not left to chance, as nothing is known of it.
+            let turn = if cold_share(rules, now, b).is_some() { TURN } else { 0.0 };
+            let other = if b.lot < kept { -turn } else { OTHER };
             let rank = self.cost(now, b, usual) + usual * (other + JITTER * rng.f64());
             if best.is_none_or(|(t, r, ..)| (tried, rank) < (t, r)) {
                 best = Some((tried, rank, b.listed.id));
@@ -737,16 +735,25 @@
         self.out += out;
     }
 
-    /// Cold backends: each gateway sends at most what it sends a warm one, times what surely is warm, times
-    /// half the multiple at which it falls over: together they stay at half of what it bears.
+    /// Cold backends: each gateway sends them what surely is warm of an even part of its requests, and at most
+    /// half the multiple at which one falls over of what is warm of a backend's part in the whole fleet: together
+    /// they stay at half of what it bears, however few are warm.
     fn reckon_cold(&mut self, now: Millis) {
-        let warm = self.ready().filter(|b| self.cold_share(now, b).is_none()).count();
-        let part = (self.settings.rules.fall_multiple / 2.0).min(1.0);
-        let usual = self.rate / (warm.max(1) as f64) * part;
-        for id in self.backends.keys().copied().collect::<Vec<_>>() {
-            let Some(share) = self.cold_share(now, &self.backends[&id]) else { continue };
-            let b = self.backends.get_mut(&id).expect("listed");
-            let more = (now - b.cold.1).max(0.0) / 1000.0 * usual * share;
+        let rules = self.settings.rules;
+        let kept = self.kept();
+        let (mut ready, mut units) = (0.0, 0.0);
+        for b in self.ready().filter(|b| b.lot < kept) {
+            ready += 1.0;
+            units += cold_share(&rules, now, b).unwrap_or(1.0);
+        }
+        let least = ready / (rules.fall_multiple / 2.0).max(1.0);
+        // The average began at nought: what it holds as yet stands for all of it.
+        let known = 1.0 - (-(now - self.started).max(RATE_KNOWN_MS) / RATE_MS).exp();
+        let part = self.rate / known / f64::max(units, least).max(1.0);
+        // Those kept to alone: each is kept to by as many gateways as the parts are reckoned for.
+        for b in self.backends.values_mut().filter(|b| b.lot < kept) {
+            let Some(share) = cold_share(&rules, now, b) else { continue };
+            let more = (now - b.cold.1).max(0.0) / 1000.0 * part * share;
             b.cold = ((b.cold.0 + more).min(1.0), now);
         }
     }
@@ -814,8 +821,8 @@
         self.flow(now, f64::from(u8::from(at_work)), 0.0);
         if first {
             self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
-            let keep = (-(now - self.rate_at).max(0.0) / 5000.0).exp();
-            self.rate = self.rate * keep + 1.0 / 5.0;
+            let keep = (-(now - self.rate_at).max(0.0) / RATE_MS).exp();
+            self.rate = self.rate * keep + 1000.0 / RATE_MS;
             self.rate_at = now;
         }
     }
@@ -1064,6 +1071,15 @@
     }
 }
 
+/// Share of its capacity that a backend surely has while it may be cold.
+fn cold_share(rules: &Rules, now: Millis, backend: &Backend) -> Option<f64> {
+    let age = now - backend.born?;
+    (age < rules.warm_up_ms).then(|| {
+        let from = rules.cold_from.clamp(0.05, 1.0);
+        from + (1.0 - from) * (age / rules.warm_up_ms).clamp(0.0, 1.0)
+    })
+}
+
 /// The gateway that keeps a customer's count for those who find no room at the counter.
 fn home(customer: CustomerId, gateways: u32) -> u32 {
     (customer.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33) as u32 % gateways.max(1)
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -352,6 +352,63 @@
     assert!(lost <= 2000, "{lost} attempts on backends that are lost");
 }
 
+/// A hundred gateways of five requests a second before 60 backends; after 5 s the first `cold` of these start
+/// anew. By backend, the moments of what is sent to it from then on, for 10 s.
+fn sent_after_a_release(cold: u32) -> Vec<Vec<f64>> {
+    let mut to = vec![Vec::new(); 61];
+    for position in 0..100 {
+        let settings = Settings { gateways: 100, position, ..open_settings() };
+        let mut rig = Rig { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
+        let mut entries: Vec<_> = (1..=60).map(|id| listed(id * 7919, id % 3, State::Ready)).collect();
+        rig.event(Event::List { full: true, entries: entries.clone() });
+        for id in 0..75 {
+            rig.now = f64::from(position) * 2.0 + id as f64 * 200.0;
+            if id == 25 {
+                entries.truncate(cold as usize);
+                entries.iter_mut().for_each(|entry| entry.started = 5000.0);
+                rig.event(Event::List { full: false, entries: entries.clone() });
+            }
+            if let Some(backend) = sent(&rig.event(Event::Request(request(id, id)))) {
+                if id >= 25 {
+                    to[backend as usize / 7919].push(rig.now);
+                }
+                let took = 20.0 + (id * 37 % 100) as f64;
+                rig.outcome_after(took, id, 0, backend, Result::Ok, None);
+            }
+        }
+    }
+    to.iter_mut().for_each(|sent| sent.sort_by(f64::total_cmp));
+    to
+}
+
+/// The most that is sent to one of these in any second, which is how long a cold one bears too much here.
+fn most_in_a_second(sent: &[Vec<f64>], until: f64) -> usize {
+    let within =
+        |sent: &Vec<f64>, from: f64| sent.iter().filter(|at| (from..from + 1000.0).contains(*at)).count();
+    let most = |sent: &Vec<f64>| sent.iter().filter(|at| **at < until).map(|at| within(sent, *at)).max();
+    sent.iter().filter_map(most).max().unwrap_or(0)
+}
+
+#[test]
+fn a_fleet_that_starts_cold_all_at_once_is_not_pushed_over() {
+    // Each was sent eight a second, half of what it can do: with a quarter of that it bears twelve.
+    let sent = sent_after_a_release(60);
+    let most = most_in_a_second(&sent[1..], 6000.0);
+    assert!(most <= 12, "{most} in a second to a cold one");
+}
+
+#[test]
+fn where_most_are_cold_they_carry_what_surely_is_warm_of_them() {
+    let sent = sent_after_a_release(36);
+    let (cold, warm): (usize, usize) =
+        (sent[1..=36].iter().map(Vec::len).sum(), sent[37..].iter().map(Vec::len).sum());
+    // Their capacity rises from a quarter to the whole in these 10 s: an even part is 0.48.
+    let part = cold as f64 / (cold + warm) as f64;
+    assert!((0.38..0.55).contains(&part), "{part} of all to 36 of 60 that start cold");
+    let most = most_in_a_second(&sent[1..=36], 6000.0);
+    assert!(most <= 12, "{most} in a second to a cold one");
+}
+
 #[test]
 fn attempts_out_are_capped() {
     let mut s = open_settings();
