--- a/src/choice.rs
+++ b/src/choice.rs
@@ -735,9 +735,9 @@
         self.out += out;
     }
 
-    /// Cold backends: each gateway sends them what surely is warm of an even part of its requests, and at most
-    /// half the multiple at which one falls over of what is warm of a backend's part in the whole fleet: together
-    /// they stay at half of what it bears, however few are warm.
+    /// Cold backends: each gateway sends them what surely is warm of an even part of its requests. With few
+    /// warm ones left it goes by half the multiple at which one falls over, of what is warm of its part in the
+    /// whole fleet: together the gateways stay at half of what it bears.
     fn reckon_cold(&mut self, now: Millis) {
         let rules = self.settings.rules;
         let kept = self.kept();
