Ask a scarce counter first for plans that lose beyond quotas, from a start by the fleet

Customers come through 50 to 99 gateways, so that a gateway sees each one every ten seconds or more: what it does not count at once rides on a charge that comes too late.

Measured in the log: 34 customers of the plan that costs beyond its quota ask for 482 units a second in 5,800 tries, 254 of the one that earns there for 498 in 6,200: the calls that there are suffice for the first plan alone. Calls that can be spared were never made below 4 a second: half of the most that was saved, and one, passed the most.

At fault: CALLS, may_call() and request() in src/choice.rs. Now the start is 300 calls a second of all gateways together, ten each at most, two calls can always be saved, and tries of plans that earn beyond their quota take a call that can be spared. Where the counter bears all calls, all are made as before.

The test failed without the change: 40 calls of 40 tries, half of them for the plan that earns.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,16 +31,17 @@
 const ASK_OF_AIM: f64 = 0.1;
 /// After so many slow or failed calls in a row requests no longer wait for the counter.
 const COUNTER_MISSES: u32 = 3;
-/// Calls a second before anything is known of the counter, and the fewest, to hear of its return.
-const CALLS: (f64, f64) = (10.0, 0.2);
+/// Calls a second before anything is known of the counter, at most and of all gateways together, and the
+/// fewest, to hear of its return.
+const CALLS: (f64, f64, f64) = (10.0, 300.0, 0.2);
 /// A missed call cuts the calls a second to this share.
 const CALLS_CUT: f64 = 0.75;
 /// A good one adds so many a second and this share to them; while none was missed, the second share.
 const CALLS_MORE: (f64, f64, f64) = (0.02, 0.02, 0.1);
 /// Most calls a second: beyond any counter.
 const CALLS_MOST: f64 = 10_000.0;
-/// Calls saved up, in ms of their pace: evens out chance.
-const CALLS_SAVED_MS: f64 = 500.0;
+/// Calls saved up, in ms of their pace, and how many at least: evens out chance.
+const CALLS_SAVED: (f64, f64) = (500.0, 2.0);
 /// Time over which work in hand and answers are averaged, in ms: some dozens of requests.
 const FLOW_MS: f64 = 1500.0;
 /// Answers in that time at which these averages count half; the rest is told by single answers.
@@ -174,6 +175,7 @@
     /// A gateway that starts now, knowing its settings alone.
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Self {
         let usual: Vec<_> = settings.classes.iter().map(|c| (c.aim_ms * USUAL_OF_AIM, 0.0)).collect();
+        let calls = CALLS.0.min(CALLS.1 / f64::from(settings.gateways.max(1)));
         Gateway {
             settings,
             rng: fastrand::Rng::with_seed(seed),
@@ -184,8 +186,8 @@
             requests: BTreeMap::new(),
             calls: BTreeMap::new(),
             misses: 0,
-            calls_pace: CALLS.0,
-            calls_saved: CALLS.0,
+            calls_pace: calls,
+            calls_saved: calls,
             calls_at: now,
             calls_once: None,
             calls_cut: false,
@@ -346,7 +348,8 @@
             return self.grant(now, id, actions);
         }
         let trusted = self.misses < COUNTER_MISSES;
-        let called = self.may_call(now, self.settings.limits.peers);
+        // Where more come than the counter bears, plans that lose by what goes unchecked are asked for first.
+        let called = self.may_call(now, self.settings.limits.peers || plan.extra_worth > plan.excess_cost);
         let c = self.customers.get_mut(&customer).expect("just entered");
         // A silent or crowded counter is still tried, by fewer calls; what else comes rides on the next.
         let home = home(customer, self.settings.gateways);
@@ -381,7 +384,7 @@
     /// Whether the counter bears a call of this gateway now. All gateways share its capacity and none knows
     /// it: each finds its part by what is missed. A call that can be spared leaves half of what is saved.
     fn may_call(&mut self, now: Millis, spare: bool) -> bool {
-        let most = (self.calls_pace * CALLS_SAVED_MS / 1000.0).max(1.0);
+        let most = (self.calls_pace * CALLS_SAVED.0 / 1000.0).max(CALLS_SAVED.1);
         let more = (now - self.calls_at).max(0.0) / 1000.0 * self.calls_pace;
         (self.calls_saved, self.calls_at) = ((self.calls_saved + more).min(most), now);
         let may = self.calls_saved >= if spare { 1.0 + most / 2.0 } else { 1.0 };
@@ -523,7 +526,7 @@
                 if !std::mem::replace(&mut self.calls_cut, true) {
                     self.calls_once = Some(self.calls_pace);
                 }
-                self.calls_pace = (self.calls_pace * CALLS_CUT).max(CALLS.1);
+                self.calls_pace = (self.calls_pace * CALLS_CUT).max(CALLS.2);
             }
         }
         self.reckon(now, name, &call, ok.then_some(total), result);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -200,6 +200,23 @@
     assert!(again * 2 >= well, "{again} calls of {well}");
 }
 
+#[test]
+fn the_first_calls_of_many_gateways_are_few_and_go_to_the_plan_that_loses_beyond_its_quota() {
+    let mut s = Settings { gateways: 100, ..settings() };
+    s.plans.push(Plan { extra_worth: 0.3, excess_cost: 0.0, ..s.plans[0] });
+    let mut rig = Rig::new(s);
+    let mut calls = [0, 0];
+    // Eight a second for 5 s, half of each plan, before any call is answered.
+    for id in 0..40 {
+        rig.now += 125.0;
+        let plan = id as u32 % 2;
+        let actions = rig.event(Event::Request(Request { plan, ..request(id, id) }));
+        calls[plan as usize] += usize::from(count(&actions).is_some());
+    }
+    assert!((10..=20).contains(&(calls[0] + calls[1])), "{calls:?} of a hundredth of some 300 a second");
+    assert!(calls[1] <= 4, "{calls:?} calls by plan");
+}
+
 /// The same, each call answered well after so long.
 fn calls_in_a_second_taking(rig: &mut Rig, first: u64, took_ms: f64) -> usize {
     let mut calls = 0;
