Take the time to be longer beyond quotas where few answers tell it

A gateway sends nobody beyond the quota for 1.5 s after it refused one inside for want of room; but among a hundred that see three or four answers a second each, there is always one that takes ten quick answers for room while its neighbours, before the same servers, refuse.

Ruled out: a limit for requests inside quotas that is too low.

At fault: beyond() in src/choice.rs, which took a time told by ten answers for as good as one told by hundreds. It is now raised by up to three quarters, the more the fewer answers tell it and the more gateways there are, for requests beyond their quotas alone; up to ten gateways nothing changes.

The test failed without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -110,6 +110,9 @@
 const LOOK_MS: f64 = 100.0;
 /// Sent beyond the quota where that pays and the expected time stays within this share of the aim.
 const ROOM_OF_AIM: f64 = 0.35;
+/// By so much it is taken to be longer there where few answers tell it: one of many gateways sees room by
+/// chance while others refuse requests inside their quotas. Up to so many gateways see enough of it.
+const UNSURE: (f64, f64) = (0.75, 10.0);
 /// After a refusal for want of room nobody is sent beyond the quota for so long, in ms.
 const CROWDED_MS: f64 = FLOW_MS;
 /// Refusals are summed up in a line of the log after so many housekeeping periods.
@@ -631,7 +634,8 @@
 
     /// Beyond the quota: refused at once, unless the plan earns more than it costs and the fleet has room.
     fn beyond(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
-        let expected = self.expected(now, id);
+        let others = (1.0 - UNSURE.1 / f64::from(self.settings.gateways.max(1))).max(0.0);
+        let expected = self.expected(now, id) * (1.0 + UNSURE.0 * others * (1.0 - self.tells()));
         let Some(open) = self.requests.get_mut(&id) else { return };
         let plan = &self.settings.plans[open.request.plan as usize];
         let aim = self.settings.classes[open.request.class as usize].aim_ms;
@@ -732,11 +736,16 @@
         let wait = Some(wait).filter(|wait| wait.is_finite()).unwrap_or(usual);
         // Few answers tell chance, and one that hangs would tell most: there each counts by its share of the
         // aim, the whole of it at most.
-        let tells = (self.served * FLOW_MS / 1000.0 / FLOW_TELLS).powi(2);
-        let tells = tells / (1.0 + tells);
+        let tells = self.tells();
         wait * tells + LATE_TIMES * self.late * aim * (1.0 - tells)
     }
 
+    /// How much the averages over answers tell, from nought to one: with few they tell chance.
+    fn tells(&self) -> f64 {
+        let tells = (self.served * FLOW_MS / 1000.0 / FLOW_TELLS).powi(2);
+        tells / (1.0 + tells)
+    }
+
     /// Keeps the averages of attempts out and answers a second.
     fn flow(&mut self, now: Millis, out: f64, served: f64) {
         let keep = (-(now - self.flow_at).max(0.0) / FLOW_MS).exp();
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -329,6 +329,40 @@
     assert!(sent(&rig.event(beyond(102))).is_some(), "room again");
 }
 
+/// Whether one beyond its quota is let in by a gateway of a hundred that has a request inside each so many ms, and
+/// each takes so long of an aim of 500 ms.
+fn let_in_beyond(every_ms: f64, took_ms: f64) -> bool {
+    let mut s = Settings { gateways: 100, counter: None, ..settings() };
+    s.plans[0] = Plan { rate: 0.1, burst: 2.0, price: 1.0, extra_worth: 0.3, ..Plan::default() };
+    s.plans.push(Plan { rate: 1000.0, burst: 1000.0, price: 1.0, ..Plan::default() });
+    let mut rig = Rig::new(s);
+    let mut out = std::collections::VecDeque::<(u64, u32, f64)>::new();
+    for id in 1..=400 {
+        let next = rig.now + every_ms;
+        while out.front().is_some_and(|(.., ends)| *ends <= next) {
+            let (id, backend, ends) = out.pop_front().unwrap();
+            rig.now = ends;
+            rig.outcome_after(took_ms, id, 0, backend, Result::Ok, None);
+        }
+        rig.now = next;
+        let inside = Event::Request(Request { plan: 1, ..request(id, 8) });
+        out.extend(sent(&rig.event(inside)).map(|backend| (id, backend, rig.now + took_ms)));
+    }
+    // Two more at once, so that something is out.
+    for id in 401..=402 {
+        rig.event(Event::Request(Request { plan: 1, ..request(id, 8) }));
+    }
+    sent(&rig.event(Event::Request(Request { units: 3.0, ..request(1000, 7) }))).is_some()
+}
+
+#[test]
+fn room_beyond_the_quota_takes_more_where_few_answers_tell_of_it() {
+    // A quarter of the aim, told by a hundred answers a second, and by five.
+    assert!(let_in_beyond(10.0, 120.0));
+    assert!(!let_in_beyond(200.0, 80.0));
+    assert!(let_in_beyond(200.0, 50.0), "quick answers tell enough");
+}
+
 /// A gateway of a hundred whose counter has no room, and the question it puts to a customer's home.
 fn asking() -> (Rig, u64, u32, Vec<u8>) {
     let mut s = settings();
