Count requests that find no server for cold turns, so that a cold fleet comes to serve

At fault: send() in src/choice.rs counted first attempts a second after a server was found; cold ones get their turns by that rate, which stayed at nought. Now what is to be sent counts, found or not. Turns stay within half of what a cold server bears: the tests of a cold fleet and of 36 cold servers hold unchanged.

The test failed without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -161,7 +161,7 @@
     /// Usual time of each class on an idle backend of usual pace, and answers seen.
     usual: Vec<(f64, f64)>,
     retries: f64,
-    /// First attempts a second, averaged.
+    /// First attempts a second, averaged: those to be sent, whether or not a backend was found.
     rate: f64,
     rate_at: Millis,
     list_retry: Option<Millis>,
@@ -787,6 +787,12 @@
     // ---- Attempts -----------------------------------------------------------------------------------------
 
     fn send(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
+        if self.requests.get(&id).is_some_and(|open| open.attempts.is_empty()) {
+            // What finds no backend counts too: cold ones get their turns by it.
+            let keep = (-(now - self.rate_at).max(0.0) / RATE_MS).exp();
+            self.rate = self.rate * keep + 1000.0 / RATE_MS;
+            self.rate_at = now;
+        }
         self.reckon_cold(now);
         let picked = self.pick(now, id);
         let Some(open) = self.requests.get_mut(&id) else { return };
@@ -841,9 +847,6 @@
         self.flow(now, f64::from(u8::from(at_work)), 0.0);
         if first {
             self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
-            let keep = (-(now - self.rate_at).max(0.0) / RATE_MS).exp();
-            self.rate = self.rate * keep + 1000.0 / RATE_MS;
-            self.rate_at = now;
         }
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -419,6 +419,26 @@
     assert!(most <= 12, "{most} in a second to a cold one");
 }
 
+#[test]
+fn gateways_and_backends_that_all_start_at_once_come_to_serve() {
+    for (gateways, backends) in [(3, 10), (100, 60)] {
+        let settings = Settings { gateways, ..open_settings() };
+        let mut rig = Rig { gateway: Gateway::new(settings, 1, 1000.0), now: 1000.0 };
+        let mut entries: Vec<_> = (1..=backends).map(|id| listed(id * 7919, id % 3, State::Ready)).collect();
+        entries.iter_mut().for_each(|entry| entry.started = 900.0);
+        rig.event(Event::List { full: true, entries });
+        let mut served = 0;
+        for id in 0..25 {
+            rig.now += 200.0;
+            if let Some(backend) = sent(&rig.event(Event::Request(request(id, id)))) {
+                served += 1;
+                rig.outcome(id, 0, backend, Result::Ok, None);
+            }
+        }
+        assert!((5..25).contains(&served), "{served} of 25 in the first 5 s with {gateways} gateways");
+    }
+}
+
 #[test]
 fn where_most_are_cold_they_carry_what_surely_is_warm_of_them() {
     let sent = sent_after_a_release(36);
