--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -511,6 +511,24 @@
     }
 }
 
+#[test]
+fn a_list_that_is_empty_and_one_that_names_a_backend_twice_are_taken_as_they_stand() {
+    let mut rig = Rig::new(Settings { gateways: 100, ..open_settings() });
+    rig.event(Event::List { full: true, entries: vec![] });
+    assert!(refused(&rig.request(1, 0, 1.0)).is_some(), "refused at once");
+    let twice = vec![listed(2, 0, State::Ready), listed(3, 1, State::Ready), listed(2, 0, State::Draining)];
+    rig.event(Event::List { full: true, entries: twice });
+    // What was gone and is back may be cold; by then it is warm.
+    rig.now += 20_000.0;
+    for id in 2..10 {
+        assert_eq!(sent(&rig.request(id, 0, 1.0)), Some(3), "the last word on 2 is that it drains");
+        rig.outcome(id, 0, 3, Result::Ok, None);
+    }
+    rig.event(Event::List { full: true, entries: vec![listed(1, 0, State::Ready)] });
+    rig.now += 20_000.0;
+    assert_eq!(sent(&rig.request(20, 0, 1.0)), Some(1), "back with the whole list");
+}
+
 #[test]
 fn backends_that_leave_in_waves_get_nothing_once_it_is_told() {
     let mut rig = Rig::new(open_settings());
