Add membership as a state machine: SWIM with suspicion, refutation and local health

Need: a gateway knows its peers only as a fixed list of addresses. It has to know who is present, who has left, and what to do when processes disagree.

Change: the library module membership, without sockets or clocks: datagrams and time in, datagrams and news out. Nothing uses it yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 
 mod choice;
 pub mod interface;
+pub mod membership;
 mod message;
 mod state;
 
