Reckon an even part of the gateways present, where membership tells how many

Need: the module reckons even parts (what is always let in, how many servers a gateway keeps to, how unsure room beyond quotas is) by the settings' fixed number of gateways, also when many are gone.

Change: an event tells how many gateways are present and whether they are a majority. Parts fall at once with those that come and grow over 10 s with those that go, as those may only be cut off; in a minority the settings' number holds. Lots and homes stay by the settings: they are places, not parts.

Result: the module's tests show that parts neither jump, flap nor go to nought, also told 0 or 2^32 - 1.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -115,6 +115,10 @@
 const UNSURE: (f64, f64) = (0.75, 10.0);
 /// After a refusal for want of room nobody is sent beyond the quota for so long, in ms.
 const CROWDED_MS: f64 = FLOW_MS;
+/// Where membership tells how many gateways are present, an even part is reckoned for so many. It falls at once
+/// with those that come, and grows by a factor e in so many ms at most with those that go: they may be cut off
+/// from this one alone and send all the same, and their clients need a while to turn to others.
+const GATEWAYS_MS: f64 = 10_000.0;
 /// Refusals are summed up in a line of the log after so many housekeeping periods.
 const TELL_TICKS: u32 = 10;
 /// Housekeeping period, in ms.
@@ -165,6 +169,8 @@
     rate: f64,
     rate_at: Millis,
     list_retry: Option<Millis>,
+    /// Gateways present, as last told, those reckoned with then, and when; none where nobody tells.
+    present: Option<(f64, f64, Millis)>,
     told: Told,
 }
 
@@ -212,6 +218,7 @@
             rate: 0.0,
             rate_at: now,
             list_retry: None,
+            present: None,
             told: Told::default(),
         }
     }
@@ -238,6 +245,10 @@
                 TOKEN_WAIT => drop(self.decide(now, token & TOKEN_ID, actions)),
                 _ => self.tick(now, actions),
             },
+            Event::Gateways { present, majority } => {
+                let told = if majority { present.max(1) } else { self.settings.gateways.max(1) };
+                self.present = Some((f64::from(told), self.gateways(now), now));
+            }
             Event::Message { from, body } => self.message(now, from, &body, actions),
             Event::Probed { .. } => {}
             Event::Counted { name, result, total, took_ms } => {
@@ -266,6 +277,12 @@
         }
     }
 
+    /// Gateways among which an even part is reckoned: as the settings say, or as membership tells.
+    fn gateways(&self, now: Millis) -> f64 {
+        let Some((told, former, at)) = self.present else { return f64::from(self.settings.gateways.max(1)) };
+        told + (former - told).max(0.0) * (-(now - at).max(0.0) / GATEWAYS_MS).exp()
+    }
+
     /// Listed backends that requests are kept from: draining ones, and those left out for their failures.
     pub fn avoided(&self, now: Millis) -> usize {
         let left_out = |b: &Backend| match b.listed.state {
@@ -634,7 +651,7 @@
 
     /// Beyond the quota: refused at once, unless the plan earns more than it costs and the fleet has room.
     fn beyond(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
-        let others = (1.0 - UNSURE.1 / f64::from(self.settings.gateways.max(1))).max(0.0);
+        let others = (1.0 - UNSURE.1 / self.gateways(now)).max(0.0);
         let expected = self.expected(now, id) * (1.0 + UNSURE.0 * others * (1.0 - self.tells()));
         let Some(open) = self.requests.get_mut(&id) else { return };
         let plan = &self.settings.plans[open.request.plan as usize];
@@ -693,7 +710,7 @@
                 && (cold_share(rules, now, b).is_none() || b.cold.0 >= 1.0)
         };
         let distrust = self.distrust();
-        let kept = self.kept();
+        let kept = self.kept(now);
         let mut best: Option<(bool, f64, BackendId)> = None;
         for b in self.backends.values().filter(|b| allowed(b)) {
             let trial = b.failures < EJECT_AFTER || distrust || (now >= b.out_until && b.out == 0);
@@ -723,7 +740,7 @@
         }
         // A few hung attempts must not lock the gateway: its part of the least work is always let in.
         let ready = self.ready().count() as f64;
-        if self.out < (ready * ALWAYS / f64::from(self.settings.gateways.max(1))).max(1.0) {
+        if self.out < (ready * ALWAYS / self.gateways(now)).max(1.0) {
             return 0.0;
         }
         // The averages began at nought: what they hold as yet stands for all of it.
@@ -760,7 +777,7 @@
     /// the whole fleet: together the gateways stay at half of what it bears.
     fn reckon_cold(&mut self, now: Millis) {
         let rules = self.settings.rules;
-        let kept = self.kept();
+        let kept = self.kept(now);
         let (mut ready, mut units) = (0.0, 0.0);
         for b in self.ready().filter(|b| b.lot < kept) {
             ready += 1.0;
@@ -779,9 +796,9 @@
     }
 
     /// Backends whose lot is below this are kept to.
-    fn kept(&self) -> f64 {
+    fn kept(&self, now: Millis) -> f64 {
         let ready = self.ready().count().max(1) as f64;
-        KEEPS_TO.0.max(KEEPS_TO.1 * ready / f64::from(self.settings.gateways.max(1))) / ready
+        KEEPS_TO.0.max(KEEPS_TO.1 * ready / self.gateways(now)) / ready
     }
 
     // ---- Attempts -----------------------------------------------------------------------------------------
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -347,6 +347,14 @@
         /// Time since the call, in ms.
         took_ms: f64,
     },
+    /// So many gateways are present, this one included, as far as this one sees.
+    Gateways {
+        /// How many.
+        present: u32,
+        /// True if they are most of all there should be. If not, this one may be cut off: what it sees tells
+        /// nothing of the others.
+        majority: bool,
+    },
     /// A message from another gateway.
     Message {
         /// Its position.
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -3,7 +3,9 @@
 mod common;
 use cherrytally::*;
 use common::settings;
+use std::collections::hash_map::DefaultHasher;
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 
 struct Out {
     backend: u32,
@@ -28,12 +30,28 @@
     states: BTreeMap<u32, State>,
     counts: Vec<(u64, f64)>,
     timers: Vec<(f64, u64)>,
+    /// A digest of all that was done.
+    done: DefaultHasher,
+}
+
+/// What membership tells of the number of gateways.
+#[derive(Clone, Copy)]
+enum Told {
+    /// Nothing: there is none.
+    Nothing,
+    /// Now and then what the settings say.
+    Settings,
+    /// Now and then anything.
+    Anything,
 }
 
 impl World {
     fn event(&mut self, event: Event) {
         let mut actions = Vec::new();
         self.gateway.handle(self.now, event, &mut actions);
+        if !actions.is_empty() {
+            format!("{actions:?}").hash(&mut self.done);
+        }
         for action in actions {
             self.check(action);
         }
@@ -120,8 +138,11 @@
     }
 }
 
-fn run(seed: u64, second_copies: bool) {
+/// A digest of what was done.
+fn run(seed: u64, second_copies: bool, told: Told) -> u64 {
     let mut rng = fastrand::Rng::with_seed(seed);
+    // Of its own, so that whatever is told the other events are the same.
+    let mut telling = fastrand::Rng::with_seed(seed);
     let mut settings = settings();
     settings.limits.second_copies = second_copies;
     settings.plans[0].max_out = 8;
@@ -134,12 +155,21 @@
         states: (1..=6).map(|id| (id, State::Ready)).collect(),
         counts: Vec::new(),
         timers: Vec::new(),
+        done: DefaultHasher::new(),
     };
     let entry =
         |id: u32, state, started| Listed { id, zone: id % 2, kind: 0, cell: id, state, size: 1.0, started };
     w.event(Event::List { full: true, entries: (1..=6).map(|id| entry(id, State::Ready, 0.0)).collect() });
     for id in 1..4000 {
         w.pass(rng.f64() * 8.0);
+        let any = [0, 1, 2, 300, u32::MAX][telling.usize(0..5)];
+        match (telling.u8(0..9), told) {
+            (0, Told::Settings) => {
+                w.event(Event::Gateways { present: w.settings.gateways, majority: telling.bool() });
+            }
+            (0, Told::Anything) => w.event(Event::Gateways { present: any, majority: telling.bool() }),
+            _ => {}
+        }
         let odd = [-1.0, f64::NAN, f64::INFINITY, 1e300, 3.0][rng.usize(0..5)];
         match rng.u32(0..20) {
             0 => {
@@ -216,11 +246,22 @@
         w.pass(10.0);
     }
     assert!(w.asked.values().all(|a| a.answered), "every request has its answer");
+    w.done.finish()
 }
 
 #[test]
 fn the_rules_hold_on_random_legal_events() {
     for seed in 0..30 {
-        run(seed, seed % 2 == 0);
+        run(seed, seed % 2 == 0, Told::Nothing);
+    }
+}
+
+#[test]
+fn they_hold_whatever_membership_tells_and_it_changes_nothing_where_it_tells_what_the_settings_say() {
+    for seed in 0..10 {
+        let plain = run(seed, true, Told::Nothing);
+        // To tell that is an event more, but does nothing.
+        assert_eq!(plain, run(seed, true, Told::Settings), "seed {seed}");
+        run(seed, true, Told::Anything);
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -550,3 +550,87 @@
         }
     }
 }
+
+// ---- An even part of the gateways present ----------------------------------------------------------------
+
+/// One of a hundred gateways before sixty servers that take the whole aim for each answer, so that nothing is let
+/// in but the even part of what always is.
+fn crowded() -> Rig {
+    let mut rig = Rig::new(Settings { gateways: 100, ..open_settings() });
+    let entries = (1..=60).map(|id| listed(id, 0, State::Ready)).collect();
+    rig.event(Event::List { full: true, entries });
+    for id in 1..=40 {
+        let backend = sent(&rig.request(id, 0, 1.0)).expect("let in while nothing is known");
+        rig.now += 500.0;
+        rig.outcome_after(500.0, id, 0, backend, Result::Ok, None);
+    }
+    rig.now += 20_000.0;
+    rig
+}
+
+/// How many requests are let in at once; all are ended again.
+fn part(rig: &mut Rig, from: u64) -> u64 {
+    let mut out = Vec::new();
+    while let Some(backend) = sent(&rig.request(from + out.len() as u64, 0, 1.0)) {
+        out.push(backend);
+        assert!(out.len() < 1000, "without end");
+    }
+    for (id, backend) in (from..).zip(&out) {
+        rig.outcome_after(1.0, id, 0, *backend, Result::Moot, None);
+    }
+    out.len() as u64
+}
+
+#[test]
+fn an_even_part_follows_the_gateways_present_and_neither_jumps_nor_goes_to_nought() {
+    let mut rig = crowded();
+    // 60 servers times 3 over 100 gateways: below the second there is room.
+    assert_eq!(part(&mut rig, 1000), 2);
+    let told = |rig: &mut Rig, present, majority| drop(rig.event(Event::Gateways { present, majority }));
+    // Four tenths go: the part grows bit by bit.
+    told(&mut rig, 60, true);
+    assert_eq!(part(&mut rig, 2000), 2, "at once nothing changes");
+    let mut parts = Vec::new();
+    for step in 0..60 {
+        rig.now += 1000.0;
+        parts.push(part(&mut rig, 3000 + 100 * step));
+    }
+    assert!(parts.windows(2).all(|two| two[1] >= two[0] && two[1] - two[0] <= 1), "{parts:?}");
+    assert_eq!(parts.last(), Some(&3));
+    // They are back: it falls at once. A view that flaps moves it no further.
+    told(&mut rig, 100, true);
+    assert_eq!(part(&mut rig, 10_000), 2);
+    for round in 0..100 {
+        told(&mut rig, if round % 2 == 0 { 51 } else { 100 }, true);
+        rig.now += 100.0;
+        assert_eq!(part(&mut rig, 11_000 + 100 * round), 2, "round {round}");
+    }
+    // Cut off from most it may not take the others' parts; and however many come, one request is let in.
+    for present in [0, 1, 49] {
+        told(&mut rig, present, false);
+        rig.now += 100_000.0;
+        assert_eq!(part(&mut rig, 30_000 + 100 * u64::from(present)), 2, "{present} in a minority");
+    }
+    told(&mut rig, u32::MAX, true);
+    assert_eq!(part(&mut rig, 40_000), 1);
+}
+
+#[test]
+fn few_gateways_present_keep_to_more_servers_each() {
+    let targets = |present: Option<u32>| {
+        let mut rig = Rig::new(Settings { gateways: 100, ..open_settings() });
+        let entries = (1..=200).map(|id| listed(id, 0, State::Ready)).collect();
+        rig.event(Event::List { full: true, entries });
+        if let Some(present) = present {
+            rig.event(Event::Gateways { present, majority: true });
+            rig.now += 100_000.0;
+        }
+        // All at once: those kept to come first, each once, then each once more before any other.
+        let to = |id| sent(&rig.request(id, 0, 1.0)).expect("there is room");
+        (1..=36).map(to).collect::<std::collections::BTreeSet<_>>().len()
+    };
+    let (before, all, half) = (targets(None), targets(Some(100)), targets(Some(51)));
+    // Ten gateways to a server at least: of 200 servers a hundred gateways keep to 20 each, 51 to 39.
+    assert_eq!(before, all);
+    assert!((15..=25).contains(&all) && (30..=36).contains(&half), "{all} and {half}");
+}
