--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -34,6 +34,10 @@
 const SUSPECT_ALONE: f64 = 3.0;
 /// Further members that have to suspect it, too, until the shorter time holds.
 const CONFIRM: usize = 3;
+/// When that time has run out it is asked so many times more, a probe's time-out apart.
+const LAST_WORD: u32 = 2;
+/// Names no question: nothing waits for its answer.
+const NO_SEQ: u32 = 0;
 /// News is told so many times, times the decimal logarithm of the members, rounded up.
 const TELL_TIMES: f64 = 4.0;
 /// Members to which news is sent beside probes, and how often in a period.
@@ -490,7 +494,7 @@
     }
 
     fn next_seq(&mut self) -> u32 {
-        self.seq = self.seq.wrapping_add(1);
+        self.seq = self.seq.wrapping_add(1).max(NO_SEQ + 1);
         self.seq
     }
 
@@ -608,7 +612,7 @@
             self.standing = Standing::Left;
             for name in self.some(LEAVE_TO, None) {
                 let Some(to) = self.members.get(&name).map(|m| m.record.who.addr) else { continue };
-                self.tells(to, 0, Body::News, None, actions);
+                self.tells(to, NO_SEQ, Body::News, None, actions);
             }
         }
         self.standing = Standing::Left;
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -148,6 +148,10 @@
             self.health = self.health.saturating_sub(1);
             return Ok(());
         }
+        if seq == NO_SEQ {
+            // A last word: what it says of itself was heard already.
+            return Ok(());
+        }
         let relayed = self.relays.iter().position(|relay| relay.seq == seq && relay.target == from.name);
         let Some(relay) = relayed.and_then(|place| self.relays.remove(place)).filter(|r| r.ends > now) else {
             return Err(Dropped::Unsolicited);
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -18,6 +18,8 @@
     since: Millis,
     accusers: Vec<u32>,
     until: Millis,
+    /// How often it was asked for a last word when its time had run out.
+    asked: u32,
 }
 
 impl Member {
@@ -104,7 +106,7 @@
         let is = (record.who.clone(), state, draining);
         let suspicion = (state == State::Suspect).then(|| {
             let until = now + self.suspicion_ms(0);
-            Suspicion { since: now, accusers: vec![record.accuser], until }
+            Suspicion { since: now, accusers: vec![record.accuser], until, asked: 0 }
         });
         match self.members.get_mut(&name) {
             Some(member) => {
@@ -163,7 +165,7 @@
     fn confirm(&mut self, now: Millis, name: &Name, accuser: u32) {
         let Some(suspicion) = self.members.get(name).and_then(|m| m.suspicion.as_ref()) else { return };
         let known = suspicion.accusers.contains(&accuser) || suspicion.accusers.len() > CONFIRM;
-        if known {
+        if known || suspicion.asked > 0 {
             return;
         }
         let (until, count) = (suspicion.since, suspicion.accusers.len());
@@ -191,12 +193,20 @@
         (most - (most - least) * share).max(least)
     }
 
-    /// Those whose suspicion has run out are down.
+    /// Those whose suspicion has run out are asked once more by whoever did not hear them refute it: news of that
+    /// may just have missed this one. Then they are down.
     pub(super) fn suspicions_due(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let over = |name: &&Name| self.members.get(*name).is_some_and(|m| m.expires() <= now);
         let over: Vec<Name> = self.suspects.iter().filter(over).cloned().collect();
         for name in over {
-            let Some(member) = self.members.get(&name) else { continue };
+            let Some(member) = self.members.get_mut(&name) else { continue };
+            if let Some(suspicion) = member.suspicion.as_mut().filter(|s| s.asked < LAST_WORD) {
+                suspicion.asked += 1;
+                suspicion.until = now + self.settings.timeout_ms;
+                let to = member.record.who.addr;
+                self.tells(to, NO_SEQ, wire::Body::Ping, Some(&name), actions);
+                continue;
+            }
             let record = Record { state: State::Down, accuser: 0, ..member.record.clone() };
             self.set(now, record, actions);
         }
@@ -321,7 +331,7 @@
         self.told_of_me(now, sender, actions);
         if lower && self.standing == Standing::Member {
             // So that it learns of this one.
-            self.tells(sender.who.addr, 0, wire::Body::News, None, actions);
+            self.tells(sender.who.addr, NO_SEQ, wire::Body::News, None, actions);
         }
     }
 
