Make the gateway a member of a cluster, off without a cluster in its configuration

Need: the membership module had no socket, and nothing used it.

Change: with an object cluster in the configuration the gateway binds a UDP socket, drives the module and tells the decision module how many gateways are present. Operators read GET /admin/members and figures in /admin/stats. SIGTERM and quiesce tell draining, the end tells left; in an upgrade the old process leaves the address to the next one, which goes on under the same name. SIGHUP takes a changed, added or removed cluster whole or not at all.

Without the object no UDP socket is bound and the figures are as before.

--- a/src/bin/heronstage/beside.rs
+++ b/src/bin/heronstage/beside.rs
@@ -4,6 +4,7 @@
 use crate::backends::Backends;
 use crate::driver::Driver;
 use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::fs;
 use std::io::{self, Read};
 use std::path::{Path, PathBuf};
@@ -47,13 +48,16 @@
     free: Arc<Semaphore>,
     /// Places for clients that are left to the other process.
     withheld: Option<OwnedSemaphorePermit>,
+    /// Whether a process that started later runs beside this one.
+    later: Rc<Cell<bool>>,
     driver: Rc<Driver>,
 }
 
 impl Beside {
     /// `seed` is this start's own and names its note, with the process's number.
     pub fn new(
-        folder: PathBuf, seed: u64, sockets: usize, reserved: usize, free: Arc<Semaphore>, driver: Rc<Driver>,
+        folder: PathBuf, seed: u64, sockets: usize, reserved: usize, free: Arc<Semaphore>,
+        later: Rc<Cell<bool>>, driver: Rc<Driver>,
     ) -> Self {
         let (name, places) =
             (format!("{PREFIX}{seed:016x}-{}", std::process::id()), free.available_permits());
@@ -66,6 +70,7 @@
             places,
             free,
             withheld: None,
+            later,
             driver,
         }
     }
@@ -105,8 +110,9 @@
     /// Whoever came first goes down to half; the later one takes what is free meanwhile.
     fn look(&mut self) -> io::Result<()> {
         let all = self.sockets.saturating_sub(self.reserved);
-        let mut room = all;
-        for other in self.notes()? {
+        let (mut room, notes) = (all, self.notes()?);
+        self.later.set(notes.iter().any(|other| other.started_ms > self.started_ms));
+        for other in notes {
             room = room.min(if other.started_ms < self.started_ms {
                 all.saturating_sub(other.held)
             } else {
--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -1,8 +1,9 @@
 //! The configuration that RELAY_CONFIG names: one JSON file, checked here once.
 
+use cherrytally::membership::{self, MEMBERS_MOST, NAME_MOST};
 use cherrytally::{Class, Counter, Effect, Group, Limits, Plan, Prices, Reports, Rules, Settings};
 use serde::Deserialize;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use tokio::sync::watch::Receiver;
 
@@ -46,6 +47,27 @@
     pub connect_ms: f64,
     pub idle_ms: f64,
     pub peer_intake: f64,
+    /// The cluster that this gateway is a member of, if it is one.
+    pub cluster: Option<Cluster>,
+}
+
+/// The gateway as a member of a cluster.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cluster {
+    /// Where it listens for the others.
+    pub listen: SocketAddrV4,
+    /// What the member is told; with port 0 it advertises the port it listens on. Its start is its own.
+    pub settings: membership::Settings,
+}
+
+impl Cluster {
+    /// Whether both are the same member of the same cluster at the same place.
+    pub fn same(&self, other: &Cluster) -> bool {
+        let who = |c: &Cluster| {
+            (c.listen, c.settings.advertise, c.settings.name.clone(), c.settings.cluster.clone())
+        };
+        who(self) == who(other)
+    }
 }
 
 /// The list of backends, or the entries that changed.
@@ -88,6 +110,7 @@
 
 #[derive(Deserialize)]
 struct File {
+    name: Option<String>,
     listen: SocketAddr,
     operator: Option<SocketAddr>,
     discovery: SocketAddr,
@@ -99,9 +122,35 @@
     peers_all: Option<SocketAddr>,
     counter: Option<SocketAddr>,
     known: Option<Registry>,
+    cluster: Option<WireCluster>,
     settings: Wire,
 }
 
+/// Whatever it does not know is a mistake: it is the project's own.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WireCluster {
+    name: String,
+    listen: SocketAddrV4,
+    advertise: Option<SocketAddrV4>,
+    #[serde(default)]
+    seeds: Vec<SocketAddrV4>,
+    member: Option<String>,
+    period_ms: Option<f64>,
+    timeout_ms: Option<f64>,
+    expected: Option<u32>,
+}
+
+/// Each member probes another one so often, unless the configuration says otherwise, in ms.
+const PERIOD_MS: f64 = 1000.0;
+/// Shorter periods are work without end, longer ones find nobody.
+const PERIOD_FROM_TO: (f64, f64) = (20.0, 60_000.0);
+/// A probe unanswered for this share of a period goes by way of others, at the most and by itself: the rest of the
+/// period is theirs.
+const TIMEOUT_OF_PERIOD: (f64, f64) = (0.5, 0.25);
+/// Seeds at most.
+const SEEDS_MOST: usize = 64;
+
 #[derive(Deserialize)]
 struct Machine {
     sockets: usize,
@@ -293,6 +342,7 @@
     if w.limits.peers && (file.peer_listen.is_none() || file.peers.len() != w.balancers as usize) {
         return fault("peers", "one address for each gateway and peer_listen are needed");
     }
+    let cluster = file.cluster.map(|c| cluster(c, file.name, w.balancers)).transpose()?;
     let Ok(seed) = u64::from_str_radix(&file.seed, 16) else { return fault("seed", "not a hex number") };
     let w = file.settings;
     let settings = Settings {
@@ -357,9 +407,56 @@
         connect_ms: w.limits.connect_timeout_ms,
         idle_ms: w.limits.idle_close_ms,
         peer_intake: w.domain.peer_intake,
+        cluster,
     })
 }
 
+/// Checks the member's part; its own name and the number of gateways stand elsewhere in the file.
+fn cluster(c: WireCluster, name: Option<String>, gateways: u32) -> Result<Cluster, String> {
+    let fault = |field: &str, what: &str| Err(format!("configuration: cluster.{field}: {what}"));
+    let bad = |name: &str| name.is_empty() || name.len() > NAME_MOST || name.chars().any(char::is_control);
+    let at = |addr: &SocketAddrV4| {
+        let ip = addr.ip();
+        addr.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !ip.is_broadcast()
+    };
+    if bad(&c.name) {
+        return fault("name", "1 to 64 bytes are needed");
+    }
+    let Some(member) = c.member.or(name).filter(|name| !bad(name)) else {
+        return fault("member", "1 to 64 bytes are needed, here or as the gateway's name");
+    };
+    let advertise = c.advertise.unwrap_or(c.listen);
+    if c.advertise.is_some_and(|addr| !at(&addr)) || advertise.ip().is_unspecified() {
+        return fault("advertise", "an address at which the others reach this gateway is needed");
+    }
+    if c.seeds.len() > SEEDS_MOST || !c.seeds.iter().all(at) {
+        return fault("seeds", "64 addresses of members at most");
+    }
+    let period_ms = c.period_ms.unwrap_or(PERIOD_MS);
+    if !(PERIOD_FROM_TO.0..=PERIOD_FROM_TO.1).contains(&period_ms) {
+        return fault("period_ms", "20 to 60000 are needed");
+    }
+    let timeout_ms = c.timeout_ms.unwrap_or(period_ms * TIMEOUT_OF_PERIOD.1);
+    if !(1.0..=period_ms * TIMEOUT_OF_PERIOD.0).contains(&timeout_ms) {
+        return fault("timeout_ms", "1 to half of period_ms are needed");
+    }
+    let expected = c.expected.unwrap_or(gateways);
+    if expected == 0 || expected as usize > MEMBERS_MOST + 1 {
+        return fault("expected", "1 to 1025 are needed, here or as settings.balancers");
+    }
+    let settings = membership::Settings {
+        cluster: c.name,
+        name: member,
+        advertise,
+        start: 0,
+        seeds: c.seeds,
+        period_ms,
+        timeout_ms,
+        expected: Some(expected),
+    };
+    Ok(Cluster { listen: c.listen, settings })
+}
+
 impl Config {
     /// Checks that a file read later holds every setting that this one does: one that lacks a key is broken, even
     /// if the gateway could do without it.
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -404,6 +404,11 @@
         self.handle(&mut self.inner.borrow_mut(), Event::Message { from, body });
     }
 
+    /// Membership tells how many gateways are present, and whether they are a majority.
+    pub fn gateways(self: &Rc<Self>, present: u32, majority: bool) {
+        self.handle(&mut self.inner.borrow_mut(), Event::Gateways { present, majority });
+    }
+
     /// Discovery told the list, or what changed in it.
     pub fn list(self: &Rc<Self>, registry: Registry) {
         let inner = &mut *self.inner.borrow_mut();
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -2,6 +2,7 @@
 
 mod backends;
 mod beside;
+mod cluster;
 mod config;
 mod counter;
 mod discovery;
@@ -18,11 +19,13 @@
 
 use backends::Backends;
 use beside::Beside;
+use cluster::Cluster;
 use config::{Config, Places};
 use driver::{Driver, Names, Reach};
 use figures::Figures;
 use room::Budget;
 use server::Server;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -34,7 +37,7 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
-/// Descriptors kept for all but clients and backends: log, signals, counter, discovery, peers, listener.
+/// Descriptors kept for all but clients and backends: log, signals, counter, discovery, peers, cluster, listener.
 const RESERVED: usize = 32;
 /// Clients that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -129,14 +132,19 @@
         }
     });
     let free = Arc::new(Semaphore::new(places));
+    let later = Rc::new(Cell::new(false));
     if let Some(folder) = std::env::var_os("TMPDIR").filter(|_| shared) {
-        let beside =
-            Beside::new(folder.into(), config.seed, config.sockets, reserved, free.clone(), driver.clone());
+        let (seed, sockets, free) = (config.seed, config.sockets, free.clone());
+        let beside = Beside::new(folder.into(), seed, sockets, reserved, free, later.clone(), driver.clone());
         tokio::task::spawn_local(beside.run());
     }
     let server = Server::new(driver.clone(), tables, figures.clone(), budget, free.clone());
-    tokio::task::spawn_local(reload(hangup, config.raw, moves, figures, server.clone()));
+    let cluster = Cluster::new(driver.clone(), config.seed, shared, server.drains());
+    let joins = cluster.prepare(config.cluster)?;
+    let hears = (server.clone(), cluster.clone());
+    tokio::task::spawn_local(reload(hangup, config.raw, moves, figures, hears));
     tracing::info!("listening on {}", listener.local_addr().map_err(|e| e.to_string())?);
+    cluster.apply(joins);
     let accepting = server.clone();
     let accept = tokio::task::spawn_local(async move {
         let start = Instant::now();
@@ -147,7 +155,7 @@
         accepting.accept(listener).await;
     });
     if let Some((at, listener)) = operator {
-        let server = server.clone();
+        let (server, cluster) = (server.clone(), cluster.clone());
         tokio::task::spawn_local(async move {
             let listener = match listener {
                 Some(listener) => listener,
@@ -162,13 +170,17 @@
                 Ok(at) => tracing::info!("operators call at {at}"),
                 Err(e) => tracing::warn!("operators call at {at}: {e}"),
             }
-            operator::run(listener, server).await;
+            operator::run(listener, server, cluster).await;
         });
     }
 
     term.recv().await;
     let longest = Duration::from_secs_f64((server.longest_ms() + ANSWERED_AFTER_DEADLINE_MS) / 1000.0);
     let by = Instant::now() + longest.max(ANSWERED);
+    if later.get() {
+        // The next process goes on as the same member.
+        cluster.hand_over();
+    }
     // From then on connections end between requests; those that are answering end after it.
     let closes = server.end(if shared { HAND_OVER } else { ACCEPT_ON });
     if !shared {
@@ -181,6 +193,7 @@
         sleep(Duration::from_millis(5)).await;
     }
     driver.leave_all();
+    cluster.leave();
     // All places are free once the last connection has ended. One that never sent a request need not.
     let _ = timeout_at(Instant::now() + WRITTEN, free.acquire_many(places as u32)).await;
     Ok(())
@@ -190,7 +203,7 @@
 /// settings. A file that is broken anywhere changes nothing.
 async fn reload(
     mut hangup: Signal, mut raw: serde_json::Value, moves: watch::Sender<Places>, figures: Rc<Figures>,
-    server: Rc<Server>,
+    (server, cluster): (Rc<Server>, Rc<Cluster>),
 ) {
     while hangup.recv().await.is_some() {
         let read = config::load().and_then(|config| match Config::lacks(&raw, &config.raw) {
@@ -202,9 +215,12 @@
             None => Ok(config),
         });
         let taken = read.and_then(|config| {
+            // What can fail comes before the first change.
+            let change = cluster.prepare(config.cluster.clone())?;
             if config.raw != raw {
                 server.retune(&config)?;
             }
+            cluster.apply(change);
             raw = config.raw;
             Ok(config.places)
         });
--- a/src/bin/heronstage/operator.rs
+++ b/src/bin/heronstage/operator.rs
@@ -1,5 +1,6 @@
 //! Operators: their own address, where each connection carries one call.
 
+use crate::cluster::Cluster;
 use crate::seldom::Seldom;
 use crate::server::Server;
 use bytes::Bytes;
@@ -26,16 +27,16 @@
 const CALL_TIME: Duration = Duration::from_secs(2);
 
 /// Answers operators for as long as the program runs.
-pub async fn run(listener: TcpListener, server: Rc<Server>) {
+pub async fn run(listener: TcpListener, server: Rc<Server>, cluster: Rc<Cluster>) {
     let (places, seldom) = (Arc::new(Semaphore::new(PLACES)), Seldom::default());
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let server = server.clone();
+                let (server, cluster) = (server.clone(), cluster.clone());
                 tokio::task::spawn_local(async move {
                     // A caller that breaks off or says nothing is its own affair.
-                    let _ = timeout(CALL_TIME, call(stream, &server)).await;
+                    let _ = timeout(CALL_TIME, call(stream, &server, &cluster)).await;
                     drop(place);
                 });
             }
@@ -47,9 +48,9 @@
     }
 }
 
-async fn call(stream: TcpStream, server: &Rc<Server>) -> hyper::Result<()> {
+async fn call(stream: TcpStream, server: &Rc<Server>, cluster: &Cluster) -> hyper::Result<()> {
     let service = service_fn(|request| {
-        let reply = answer(&request, server);
+        let reply = answer(&request, server, cluster);
         async move { Ok::<_, Infallible>(reply) }
     });
     http1::Builder::new()
@@ -60,9 +61,9 @@
         .await
 }
 
-fn answer(request: &Request<Incoming>, server: &Rc<Server>) -> Response<Full<Bytes>> {
+fn answer(request: &Request<Incoming>, server: &Rc<Server>, cluster: &Cluster) -> Response<Full<Bytes>> {
     let allowed = match request.uri().path() {
-        "/admin/health" | "/admin/stats" => Method::GET,
+        "/admin/health" | "/admin/stats" | "/admin/members" => Method::GET,
         "/admin/quiesce" | "/admin/resume" => Method::POST,
         _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
     };
@@ -78,15 +79,28 @@
         }
         "/admin/resume" if server.resume() => text(StatusCode::OK, "taking clients\n"),
         "/admin/resume" => text(StatusCode::CONFLICT, "ending after SIGTERM\n"),
-        "/admin/stats" => text(StatusCode::OK, server.stats()),
+        "/admin/stats" => {
+            let mut stats = server.stats();
+            cluster.stats(&mut stats);
+            text(StatusCode::OK, stats)
+        }
+        "/admin/members" => match cluster.view().map(|view| serde_json::to_vec_pretty(&view)) {
+            Some(Ok(view)) => body(StatusCode::OK, view, "application/json"),
+            Some(Err(e)) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
+            None => text(StatusCode::NOT_FOUND, "not a member of a cluster now\n"),
+        },
         _ if server.ready() => text(StatusCode::OK, "ready\n"),
         _ => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
     }
 }
 
-fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    body(status, text, "text/plain; charset=utf-8")
+}
+
+fn body(status: StatusCode, body: impl Into<Bytes>, form: &'static str) -> Response<Full<Bytes>> {
     let mut reply = Response::new(Full::new(body.into()));
     *reply.status_mut() = status;
-    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(form));
     reply
 }
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -78,6 +78,22 @@
     }
 }
 
+/// Hears of drains.
+#[derive(Clone)]
+pub struct Drains(watch::Receiver<Drain>);
+
+impl Drains {
+    /// Whether the gateway drains.
+    pub fn draining(&mut self) -> bool {
+        self.0.borrow_and_update().closes().is_some()
+    }
+
+    /// Waits for a change; false if there will be none.
+    pub async fn changed(&mut self) -> bool {
+        self.0.changed().await.is_ok()
+    }
+}
+
 /// An answer's body, and the request as long as it streams.
 pub struct Replied {
     content: Content,
@@ -214,6 +230,11 @@
         self.figures.text(&Present { open: self.open.get(), listed, avoided })
     }
 
+    /// To hear of drains.
+    pub fn drains(&self) -> Drains {
+        Drains(self.drain.subscribe())
+    }
+
     /// From now on the gateway is unready, asks clients to go with each answer, and soon closes idle
     /// connections. A drain under way goes on as it is.
     pub fn drain(&self) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,317 +1,16 @@
 //! The gateway on loopback sockets, against backends, a counter and discovery that the tests play.
 #![allow(missing_docs)]
 
-use std::collections::HashMap;
+mod played;
+
+use played::*;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Waits are on conditions; this only ends a test that has failed.
-const LONG: Duration = Duration::from_secs(20);
-
-// ---- What the tests play ----------------------------------------------------------------------------------
-
-#[derive(Clone, Debug, Default)]
-struct Message {
-    /// The first line.
-    line: String,
-    headers: HashMap<String, String>,
-    body: Vec<u8>,
-}
-
-impl Message {
-    fn status(&self) -> u16 {
-        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
-    }
-}
-
-/// Reads one message; none if the connection ends before it is whole.
-fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
-    let mut message = Message::default();
-    let mut line = String::new();
-    from.read_line(&mut line).ok().filter(|n| *n > 0)?;
-    message.line = line.trim_end().to_owned();
-    loop {
-        let mut line = String::new();
-        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
-        let Some((name, value)) = line.trim_end().split_once(": ") else { break };
-        message.headers.insert(name.to_ascii_lowercase(), value.to_owned());
-    }
-    let length = message.headers.get("content-length").map_or(0, |l| l.parse().unwrap());
-    message.body.resize(length, 0);
-    from.read_exact(&mut message.body).ok()?;
-    Some(message)
-}
-
-/// What a played server does with a message.
-enum Play {
-    /// Writes this and keeps the connection.
-    Say(String),
-    /// Writes this and closes the connection.
-    End(String),
-    /// Says nothing until the other side has closed, then notes that by the sender.
-    Hush(Sender<Instant>),
-}
-
-fn say(status: u16, headers: &str, body: &str) -> String {
-    format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
-}
-
-/// Serves on a port of its own, each connection in a thread.
-fn serve(play: impl Fn(&Message) -> Play + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    let play = Arc::new(play);
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (mut stream, play) = (stream.unwrap(), play.clone());
-            std::thread::spawn(move || {
-                let mut from = BufReader::new(stream.try_clone().unwrap());
-                while let Some(message) = read(&mut from) {
-                    match play(&message) {
-                        Play::Say(text) => stream.write_all(text.as_bytes()).unwrap(),
-                        Play::End(text) => {
-                            stream.write_all(text.as_bytes()).unwrap();
-                            stream.shutdown(Shutdown::Both).unwrap();
-                            return;
-                        }
-                        Play::Hush(closed) => {
-                            let _ = from.read(&mut [0]);
-                            let _ = closed.send(Instant::now());
-                            return;
-                        }
-                    }
-                }
-            });
-        }
-    });
-    addr
-}
-
-/// A counter as the real one: totals with three decimals. Notes the amounts.
-fn counter(amounts: Arc<Mutex<Vec<f64>>>) -> SocketAddr {
-    let totals = Mutex::new(HashMap::<String, f64>::new());
-    serve(move |call| {
-        let target = call.line.split(' ').nth(1).unwrap();
-        let (name, query) = target.split_once("?by=").unwrap();
-        let by: f64 = query.split('&').next().unwrap().parse().unwrap();
-        amounts.lock().unwrap().push(by);
-        let mut totals = totals.lock().unwrap();
-        let total = totals.entry(name.to_owned()).or_default();
-        *total += by;
-        Play::Say(say(200, "", &format!("{total:.3}")))
-    })
-}
-
-/// Discovery: a watch to which a test can add lines.
-struct Discovery {
-    addr: SocketAddr,
-    watches: Receiver<(String, TcpStream)>,
-}
-
-impl Discovery {
-    fn new() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        let (to, watches) = channel();
-        std::thread::spawn(move || {
-            for stream in listener.incoming() {
-                let mut stream = stream.unwrap();
-                let mut from = BufReader::new(stream.try_clone().unwrap());
-                let Some(asked) = read(&mut from) else { continue };
-                if asked.line.contains("stream=1") {
-                    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
-                }
-                let _ = to.send((asked.line, stream));
-            }
-        });
-        Discovery { addr, watches }
-    }
-
-    fn watch(&self) -> (String, TcpStream) {
-        self.watches.recv_timeout(LONG).expect("the gateway opens a watch")
-    }
-}
-
-fn tell(watch: &mut TcpStream, line: &str) {
-    watch.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).unwrap();
-}
-
-fn entry(number: usize, addr: SocketAddr, state: &str) -> serde_json::Value {
-    serde_json::json!({"id": format!("s-{number:08x}"), "addr": addr, "zone": "room-a", "kind": "std-2c",
-        "cell": 0, "state": state, "weight": 1.0, "started_ms": 0})
-}
-
-/// A configuration with these backends known.
-fn config(backends: &[SocketAddr], counter: SocketAddr, discovery: SocketAddr) -> serde_json::Value {
-    let servers: Vec<_> = backends.iter().enumerate().map(|(i, a)| entry(i, *a, "Ready")).collect();
-    let class = |name: &str, effect: &str| {
-        serde_json::json!({"name": name, "aim-ms": 1500.0, "give-up-ms": 4000.0, "value": 1.0, "late-worth": 0.0,
-            "effect": effect, "group": "zone", "stream": false, "window-ms": 2500.0})
-    };
-    serde_json::json!({
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-        "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:9"], "peers_all": "127.0.0.1:9",
-        "counter": counter, "known": {"version": 7, "full": true, "servers": servers},
-        "settings": {
-            "balancers": 1, "position": 0, "locality": 0, "zones": ["room-a", "room-b"], "kinds": ["std-2c"],
-            "granularity-ms": 2.0, "membership-mode": "push",
-            "categories": [class("look", "read_like"), class("order", "idempotency_key"),
-                class("once", "non_idempotent")],
-            "tiers-of-service": [{"name": "small", "refill": 2.0, "store-size": 4.0, "max-out": 0, "pays": 1.0,
-                "extra-worth": 0.0, "excess-cost": 1.0, "cap-rate": 0.0, "cap-depth": 0.0, "ceiling-slack": 0.0}],
-            "domain": {"may-count": true, "counter-timeout-ms": 80.0, "count-fee": 0.01, "units-top": 4,
-                "trued-up": true, "peer-intake": 60.0},
-            "limits": {"try-limit": 3, "may-duplicate": false, "cancel": true, "probing": true, "peers": true,
-                "retry-after": true, "max-retry-after-ms": 2000.0, "connect-timeout-ms": 250.0,
-                "idle-close-ms": 30000.0},
-            "penalties": {"cross-zone": 0.01, "waste": 0.05, "probe": 0.01, "late-fail": 0.08},
-            "rules": {"answer-slack-ms": 8.0, "cold-from": 0.26, "warm-up-ms": 18000.0, "drain-grace-ms": 1000.0,
-                "fall-multiple": 2.5, "fall-ms": 3000.0, "ask-within-ms": 10000.0}
-        }
-    })
-}
-
-// ---- The gateway under test -------------------------------------------------------------------------------
-
-struct Gateway {
-    child: Child,
-    addr: SocketAddr,
-    log: Receiver<String>,
-    /// Its configuration's file.
-    path: PathBuf,
-}
-
-/// Writes a configuration into a file of its own.
-fn write(config: &serde_json::Value) -> PathBuf {
-    static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-    let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("heronstage-{}-{number}.json", std::process::id()));
-    std::fs::write(&path, config.to_string()).unwrap();
-    path
-}
-
-fn start(config: &serde_json::Value) -> (Child, PathBuf) {
-    let path = write(config);
-    let mut command = Command::new(env!("CARGO_BIN_EXE_heronstage"));
-    let child = command.env("RELAY_CONFIG", &path).stdin(Stdio::null()).stderr(Stdio::piped()).spawn();
-    (child.unwrap(), path)
-}
-
-/// Starts the program with a clients' listener that it inherits as descriptor 3.
-fn start_inheriting(
-    config: &serde_json::Value, listener: &TcpListener, temporary: &std::path::Path,
-) -> (Child, PathBuf) {
-    let path = write(config);
-    let run = format!("exec {} 3<&0 </dev/null", env!("CARGO_BIN_EXE_heronstage"));
-    let mut command = Command::new("/bin/sh");
-    command
-        .args(["-c", &run])
-        .env("RELAY_CONFIG", &path)
-        .env("RELAY_LISTEN_FD", "3")
-        .env("TMPDIR", temporary);
-    let listener = std::os::fd::OwnedFd::from(listener.try_clone().unwrap());
-    (command.stdin(listener).stderr(Stdio::piped()).spawn().unwrap(), path)
-}
-
-impl Gateway {
-    /// Starts the program and waits until it is ready.
-    fn new(config: &serde_json::Value) -> Self {
-        let gateway = Self::started(start(config));
-        let start = Instant::now();
-        while gateway.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
-            assert!(start.elapsed() < LONG, "never ready");
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        gateway
-    }
-
-    /// Waits until the program listens.
-    fn started((mut child, path): (Child, PathBuf)) -> Self {
-        let stderr = BufReader::new(child.stderr.take().unwrap());
-        let (to, log) = channel();
-        std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| to.send(l)));
-        let addr = loop {
-            let line = log.recv_timeout(LONG).expect("the gateway starts");
-            if let Some((_, addr)) = line.split_once("listening on ") {
-                break addr.parse().unwrap();
-            }
-        };
-        Gateway { child, addr, log, path }
-    }
-
-    fn open(&self) -> BufReader<TcpStream> {
-        let stream = TcpStream::connect(self.addr).unwrap();
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        BufReader::new(stream)
-    }
-
-    fn ask(&self, text: &str) -> Message {
-        let mut open = self.open();
-        open.get_mut().write_all(text.as_bytes()).unwrap();
-        read(&mut open).expect("an answer")
-    }
-
-    fn get(&self, customer: u64, units: u32) -> Message {
-        self.ask(&look(customer, units, 3000))
-    }
-
-    fn signal(&self, name: &str) {
-        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
-    }
-}
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn look(customer: u64, units: u32, remaining: u32) -> String {
-    format!(
-        "GET /look?account={customer:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: 0000{customer:012x}\r\n\
-         X-Lane: look\r\nX-Plan: small\r\nX-Remaining-Ms: {remaining}\r\nX-Quota: units={units},spread=1,first=0\r\n\r\n"
-    )
-}
-
-fn post(lane: &str, key: &str, body: &str) -> String {
-    format!(
-        "POST /{lane}?account=0000000000000007 HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: 9b1f03aa5c7e2d41\r\n\
-         X-Lane: {lane}\r\nX-Plan: small\r\nX-Remaining-Ms: 3000\r\n{key}X-Quota: units=1,spread=1,first=0\r\n\
-         Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
-const KEY: &str = "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
-
-/// A calm counter and discovery that is silent.
-fn calm(backends: &[SocketAddr]) -> serde_json::Value {
-    config(backends, counter(Arc::default()), serve(|_| Play::Hush(channel().0)))
-}
-
-/// A backend that answers all well, and what it got.
-fn good() -> (SocketAddr, Arc<Mutex<Vec<Message>>>) {
-    let got = Arc::new(Mutex::new(Vec::new()));
-    let seen = got.clone();
-    let addr = serve(move |m| {
-        seen.lock().unwrap().push(m.clone());
-        Play::Say(say(200, "X-Units-Charged: 2\r\n", "stock: 12"))
-    });
-    (addr, got)
-}
-
-/// A port on which nobody listens.
-fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 // ---- The tests --------------------------------------------------------------------------------------------
 
 #[test]
@@ -711,12 +410,6 @@
     assert!(gateway.log.iter().all(|line| !line.contains("panic")));
 }
 
-/// Replaces the configuration and tells the gateway, as the platform does.
-fn reload(gateway: &Gateway, text: &str) {
-    std::fs::write(&gateway.path, text).unwrap();
-    gateway.signal("-HUP");
-}
-
 #[test]
 fn sighup_moves_to_the_addresses_that_the_configuration_names() {
     let ((one, _), (two, got)) = (good(), good());
@@ -791,34 +484,6 @@
 
 // ---- Operators --------------------------------------------------------------------------------------------
 
-/// A calm configuration with a place for operators.
-fn operated(backends: &[SocketAddr]) -> serde_json::Value {
-    let mut config = calm(backends);
-    config["operator"] = "127.0.0.1:0".into();
-    config
-}
-
-impl Gateway {
-    fn operator(&self) -> SocketAddr {
-        let told = self.log.recv_timeout(LONG).expect("it tells where operators call");
-        told.split_once("operators call at ").expect("the line after the clients' address").1.parse().unwrap()
-    }
-
-    fn ready(&self) -> bool {
-        self.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200
-    }
-}
-
-/// One operator's call, on a connection of its own that the gateway closes after it.
-fn call(at: SocketAddr, line: &str) -> Message {
-    let mut open = BufReader::new(TcpStream::connect(at).unwrap());
-    open.get_mut().set_read_timeout(Some(LONG)).unwrap();
-    open.get_mut().write_all(format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).unwrap();
-    let answer = read(&mut open).expect("an answer");
-    assert_eq!(open.read(&mut [0]).unwrap(), 0, "one call a connection");
-    answer
-}
-
 #[test]
 fn operators_drain_and_resume() {
     let (backend, _) = good();
@@ -903,21 +568,6 @@
 
 // ---- A new version beside the old one ---------------------------------------------------------------------
 
-/// A folder of the test's own, as the platform gives one to the processes of a gateway.
-fn temporary() -> PathBuf {
-    let path = write(&serde_json::json!({})).with_extension("tmp");
-    std::fs::create_dir(&path).unwrap();
-    path
-}
-
-fn await_healthy(at: SocketAddr) {
-    let start = Instant::now();
-    while call(at, "GET /admin/health").status() != 200 {
-        assert!(start.elapsed() < LONG, "never ready");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 #[test]
 fn a_second_process_takes_over_the_listener_and_loses_nothing() {
     let (backend, _) = good();
@@ -1061,20 +711,6 @@
 
 // ---- Figures ----------------------------------------------------------------------------------------------
 
-/// One figure as operators read it, once it stands at what it must come to.
-fn await_figure(at: SocketAddr, name: &str, value: u64) {
-    let start = Instant::now();
-    loop {
-        let text = String::from_utf8(call(at, "GET /admin/stats").body).unwrap();
-        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
-        if line.is_some_and(|line| line == value.to_string()) {
-            return;
-        }
-        assert!(start.elapsed() < LONG, "{name} is not {value}:\n{text}");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 fn ended(class: &str, status: &str) -> String {
     format!("relay_operations_total{{priority=\"{class}\",status=\"{status}\"}}")
 }
--- /dev/null
+++ b/tests/played/mod.rs
@@ -0,0 +1,376 @@
+//! What tests of real processes play: servers, a counter and discovery, and the gateway's own process.
+#![allow(dead_code, missing_docs)]
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Waits are on conditions; this only ends a test that has failed.
+pub const LONG: Duration = Duration::from_secs(20);
+
+// ---- What the tests play ----------------------------------------------------------------------------------
+
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// The first line.
+    pub line: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Reads one message; none if the connection ends before it is whole.
+pub fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut message = Message::default();
+    let mut line = String::new();
+    from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+    message.line = line.trim_end().to_owned();
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(": ") else { break };
+        message.headers.insert(name.to_ascii_lowercase(), value.to_owned());
+    }
+    let length = message.headers.get("content-length").map_or(0, |l| l.parse().unwrap());
+    message.body.resize(length, 0);
+    from.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// What a played server does with a message.
+pub enum Play {
+    /// Writes this and keeps the connection.
+    Say(String),
+    /// Writes this and closes the connection.
+    End(String),
+    /// Says nothing until the other side has closed, then notes that by the sender.
+    Hush(Sender<Instant>),
+}
+
+pub fn say(status: u16, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Serves on a port of its own, each connection in a thread.
+pub fn serve(play: impl Fn(&Message) -> Play + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let play = Arc::new(play);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, play) = (stream.unwrap(), play.clone());
+            std::thread::spawn(move || {
+                let mut from = BufReader::new(stream.try_clone().unwrap());
+                while let Some(message) = read(&mut from) {
+                    match play(&message) {
+                        Play::Say(text) => stream.write_all(text.as_bytes()).unwrap(),
+                        Play::End(text) => {
+                            stream.write_all(text.as_bytes()).unwrap();
+                            stream.shutdown(Shutdown::Both).unwrap();
+                            return;
+                        }
+                        Play::Hush(closed) => {
+                            let _ = from.read(&mut [0]);
+                            let _ = closed.send(Instant::now());
+                            return;
+                        }
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// A counter as the real one: totals with three decimals. Notes the amounts.
+pub fn counter(amounts: Arc<Mutex<Vec<f64>>>) -> SocketAddr {
+    let totals = Mutex::new(HashMap::<String, f64>::new());
+    serve(move |call| {
+        let target = call.line.split(' ').nth(1).unwrap();
+        let (name, query) = target.split_once("?by=").unwrap();
+        let by: f64 = query.split('&').next().unwrap().parse().unwrap();
+        amounts.lock().unwrap().push(by);
+        let mut totals = totals.lock().unwrap();
+        let total = totals.entry(name.to_owned()).or_default();
+        *total += by;
+        Play::Say(say(200, "", &format!("{total:.3}")))
+    })
+}
+
+/// Discovery: a watch to which a test can add lines.
+pub struct Discovery {
+    pub addr: SocketAddr,
+    pub watches: Receiver<(String, TcpStream)>,
+}
+
+impl Discovery {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (to, watches) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.unwrap();
+                let mut from = BufReader::new(stream.try_clone().unwrap());
+                let Some(asked) = read(&mut from) else { continue };
+                if asked.line.contains("stream=1") {
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+                }
+                let _ = to.send((asked.line, stream));
+            }
+        });
+        Discovery { addr, watches }
+    }
+
+    pub fn watch(&self) -> (String, TcpStream) {
+        self.watches.recv_timeout(LONG).expect("the gateway opens a watch")
+    }
+}
+
+pub fn tell(watch: &mut TcpStream, line: &str) {
+    watch.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).unwrap();
+}
+
+pub fn entry(number: usize, addr: SocketAddr, state: &str) -> serde_json::Value {
+    serde_json::json!({"id": format!("s-{number:08x}"), "addr": addr, "zone": "room-a", "kind": "std-2c",
+        "cell": 0, "state": state, "weight": 1.0, "started_ms": 0})
+}
+
+/// A configuration with these backends known.
+pub fn config(backends: &[SocketAddr], counter: SocketAddr, discovery: SocketAddr) -> serde_json::Value {
+    let servers: Vec<_> = backends.iter().enumerate().map(|(i, a)| entry(i, *a, "Ready")).collect();
+    let class = |name: &str, effect: &str| {
+        serde_json::json!({"name": name, "aim-ms": 1500.0, "give-up-ms": 4000.0, "value": 1.0, "late-worth": 0.0,
+            "effect": effect, "group": "zone", "stream": false, "window-ms": 2500.0})
+    };
+    serde_json::json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:9"], "peers_all": "127.0.0.1:9",
+        "counter": counter, "known": {"version": 7, "full": true, "servers": servers},
+        "settings": {
+            "balancers": 1, "position": 0, "locality": 0, "zones": ["room-a", "room-b"], "kinds": ["std-2c"],
+            "granularity-ms": 2.0, "membership-mode": "push",
+            "categories": [class("look", "read_like"), class("order", "idempotency_key"),
+                class("once", "non_idempotent")],
+            "tiers-of-service": [{"name": "small", "refill": 2.0, "store-size": 4.0, "max-out": 0, "pays": 1.0,
+                "extra-worth": 0.0, "excess-cost": 1.0, "cap-rate": 0.0, "cap-depth": 0.0, "ceiling-slack": 0.0}],
+            "domain": {"may-count": true, "counter-timeout-ms": 80.0, "count-fee": 0.01, "units-top": 4,
+                "trued-up": true, "peer-intake": 60.0},
+            "limits": {"try-limit": 3, "may-duplicate": false, "cancel": true, "probing": true, "peers": true,
+                "retry-after": true, "max-retry-after-ms": 2000.0, "connect-timeout-ms": 250.0,
+                "idle-close-ms": 30000.0},
+            "penalties": {"cross-zone": 0.01, "waste": 0.05, "probe": 0.01, "late-fail": 0.08},
+            "rules": {"answer-slack-ms": 8.0, "cold-from": 0.26, "warm-up-ms": 18000.0, "drain-grace-ms": 1000.0,
+                "fall-multiple": 2.5, "fall-ms": 3000.0, "ask-within-ms": 10000.0}
+        }
+    })
+}
+
+// ---- The gateway under test -------------------------------------------------------------------------------
+
+pub struct Gateway {
+    pub child: Child,
+    pub addr: SocketAddr,
+    pub log: Receiver<String>,
+    /// Its configuration's file.
+    pub path: PathBuf,
+}
+
+/// Writes a configuration into a file of its own.
+pub fn write(config: &serde_json::Value) -> PathBuf {
+    static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("heronstage-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).unwrap();
+    path
+}
+
+pub fn start(config: &serde_json::Value) -> (Child, PathBuf) {
+    let path = write(config);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heronstage"));
+    let child = command.env("RELAY_CONFIG", &path).stdin(Stdio::null()).stderr(Stdio::piped()).spawn();
+    (child.unwrap(), path)
+}
+
+/// Starts the program with a clients' listener that it inherits as descriptor 3.
+pub fn start_inheriting(
+    config: &serde_json::Value, listener: &TcpListener, temporary: &std::path::Path,
+) -> (Child, PathBuf) {
+    let path = write(config);
+    let run = format!("exec {} 3<&0 </dev/null", env!("CARGO_BIN_EXE_heronstage"));
+    let mut command = Command::new("/bin/sh");
+    command
+        .args(["-c", &run])
+        .env("RELAY_CONFIG", &path)
+        .env("RELAY_LISTEN_FD", "3")
+        .env("TMPDIR", temporary);
+    let listener = std::os::fd::OwnedFd::from(listener.try_clone().unwrap());
+    (command.stdin(listener).stderr(Stdio::piped()).spawn().unwrap(), path)
+}
+
+impl Gateway {
+    /// Starts the program and waits until it is ready.
+    pub fn new(config: &serde_json::Value) -> Self {
+        let gateway = Self::started(start(config));
+        let start = Instant::now();
+        while gateway.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
+            assert!(start.elapsed() < LONG, "never ready");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        gateway
+    }
+
+    /// Waits until the program listens.
+    pub fn started((mut child, path): (Child, PathBuf)) -> Self {
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let (to, log) = channel();
+        std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| to.send(l)));
+        let addr = loop {
+            let line = log.recv_timeout(LONG).expect("the gateway starts");
+            if let Some((_, addr)) = line.split_once("listening on ") {
+                break addr.parse().unwrap();
+            }
+        };
+        Gateway { child, addr, log, path }
+    }
+
+    pub fn open(&self) -> BufReader<TcpStream> {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        BufReader::new(stream)
+    }
+
+    pub fn ask(&self, text: &str) -> Message {
+        let mut open = self.open();
+        open.get_mut().write_all(text.as_bytes()).unwrap();
+        read(&mut open).expect("an answer")
+    }
+
+    pub fn get(&self, customer: u64, units: u32) -> Message {
+        self.ask(&look(customer, units, 3000))
+    }
+
+    pub fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn look(customer: u64, units: u32, remaining: u32) -> String {
+    format!(
+        "GET /look?account={customer:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: 0000{customer:012x}\r\n\
+         X-Lane: look\r\nX-Plan: small\r\nX-Remaining-Ms: {remaining}\r\nX-Quota: units={units},spread=1,first=0\r\n\r\n"
+    )
+}
+
+pub fn post(lane: &str, key: &str, body: &str) -> String {
+    format!(
+        "POST /{lane}?account=0000000000000007 HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: 9b1f03aa5c7e2d41\r\n\
+         X-Lane: {lane}\r\nX-Plan: small\r\nX-Remaining-Ms: 3000\r\n{key}X-Quota: units=1,spread=1,first=0\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+pub const KEY: &str = "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
+
+/// A calm counter and discovery that is silent.
+pub fn calm(backends: &[SocketAddr]) -> serde_json::Value {
+    config(backends, counter(Arc::default()), serve(|_| Play::Hush(channel().0)))
+}
+
+/// A backend that answers all well, and what it got.
+pub fn good() -> (SocketAddr, Arc<Mutex<Vec<Message>>>) {
+    let got = Arc::new(Mutex::new(Vec::new()));
+    let seen = got.clone();
+    let addr = serve(move |m| {
+        seen.lock().unwrap().push(m.clone());
+        Play::Say(say(200, "X-Units-Charged: 2\r\n", "stock: 12"))
+    });
+    (addr, got)
+}
+
+/// A port on which nobody listens.
+pub fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// Replaces the configuration and tells the gateway, as the platform does.
+pub fn reload(gateway: &Gateway, text: &str) {
+    std::fs::write(&gateway.path, text).unwrap();
+    gateway.signal("-HUP");
+}
+
+/// A calm configuration with a place for operators.
+pub fn operated(backends: &[SocketAddr]) -> serde_json::Value {
+    let mut config = calm(backends);
+    config["operator"] = "127.0.0.1:0".into();
+    config
+}
+
+impl Gateway {
+    pub fn operator(&self) -> SocketAddr {
+        let told = self.log.recv_timeout(LONG).expect("it tells where operators call");
+        told.split_once("operators call at ").expect("the line after the clients' address").1.parse().unwrap()
+    }
+
+    pub fn ready(&self) -> bool {
+        self.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200
+    }
+}
+
+/// One operator's call, on a connection of its own that the gateway closes after it.
+pub fn call(at: SocketAddr, line: &str) -> Message {
+    let mut open = BufReader::new(TcpStream::connect(at).unwrap());
+    open.get_mut().set_read_timeout(Some(LONG)).unwrap();
+    open.get_mut().write_all(format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).unwrap();
+    let answer = read(&mut open).expect("an answer");
+    assert_eq!(open.read(&mut [0]).unwrap(), 0, "one call a connection");
+    answer
+}
+
+/// A folder of the test's own, as the platform gives one to the processes of a gateway.
+pub fn temporary() -> PathBuf {
+    let path = write(&serde_json::json!({})).with_extension("tmp");
+    std::fs::create_dir(&path).unwrap();
+    path
+}
+
+pub fn await_healthy(at: SocketAddr) {
+    let start = Instant::now();
+    while call(at, "GET /admin/health").status() != 200 {
+        assert!(start.elapsed() < LONG, "never ready");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// One figure as operators read it, once it stands at what it must come to.
+pub fn await_figure(at: SocketAddr, name: &str, value: u64) {
+    let start = Instant::now();
+    loop {
+        let text = String::from_utf8(call(at, "GET /admin/stats").body).unwrap();
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        if line.is_some_and(|line| line == value.to_string()) {
+            return;
+        }
+        assert!(start.elapsed() < LONG, "{name} is not {value}:\n{text}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
