--- a/src/choice.rs
+++ b/src/choice.rs
@@ -115,9 +115,9 @@
 const UNSURE: (f64, f64) = (0.75, 10.0);
 /// After a refusal for want of room nobody is sent beyond the quota for so long, in ms.
 const CROWDED_MS: f64 = FLOW_MS;
-/// Where membership tells how many gateways are present, an even part is reckoned for so many. It falls at once
-/// with those that come, and grows by a factor e in so many ms at most with those that go: they may be cut off
-/// from this one alone and send all the same, and their clients need a while to turn to others.
+/// Where membership tells how many gateways are present, an even part is reckoned for so many. It falls at
+/// once with those that come and grows over so many ms with those that go: they may be cut off from this one
+/// alone and send all the same, and their clients need a while to turn to others.
 const GATEWAYS_MS: f64 = 10_000.0;
 /// Refusals are summed up in a line of the log after so many housekeeping periods.
 const TELL_TICKS: u32 = 10;
