Let the counter and the peers tell their news by a function, not by the driver's type

driver named counter and peers, and both named driver: neither could be read or tested alone. Each now gets the function that it calls with its news (Hears, a closure); main puts them together.

--- a/src/bin/heronstage/counter.rs
+++ b/src/bin/heronstage/counter.rs
@@ -1,7 +1,6 @@
 //! The shared counter: calls written one behind another on a few kept connections.
 
 use crate::config::{moved, Places};
-use crate::driver::Driver;
 use crate::http::Reader;
 use crate::idle::IdleLimit;
 use crate::seldom::Seldom;
@@ -42,6 +41,18 @@
     pub at: Instant,
 }
 
+/// How a call has ended.
+pub struct Counted {
+    pub name: u64,
+    pub result: Ended,
+    /// The number's total after it, where that is known.
+    pub total: f64,
+    pub took_ms: f64,
+}
+
+/// Who hears how calls have ended.
+pub type Hears = Rc<dyn Fn(Counted)>;
+
 /// Where calls go in.
 pub struct Lanes(Vec<UnboundedSender<Call>>);
 
@@ -62,13 +73,13 @@
 }
 
 /// Runs the connections.
-pub fn spawn(ends: LaneEnds, addr: SocketAddr, places: &Receiver<Places>, driver: &Rc<Driver>) {
+pub fn spawn(ends: LaneEnds, addr: SocketAddr, places: &Receiver<Places>, hears: &Hears) {
     let patience = places.borrow().patience;
     let idle_limit = Rc::new(IdleLimit::new(IDLE));
     for calls in ends {
-        let (places, driver, idle_limit) = (places.clone(), driver.clone(), idle_limit.clone());
+        let (places, hears, idle_limit) = (places.clone(), hears.clone(), idle_limit.clone());
         let (next, seldom) = (None, Seldom::default());
-        let lane = Lane { addr, places, patience, driver, calls, next, idle_limit, seldom };
+        let lane = Lane { addr, places, patience, hears, calls, next, idle_limit, seldom };
         tokio::task::spawn_local(lane.run());
     }
 }
@@ -77,7 +88,7 @@
     addr: SocketAddr,
     places: Receiver<Places>,
     patience: Duration,
-    driver: Rc<Driver>,
+    hears: Hears,
     calls: UnboundedReceiver<Call>,
     /// A call taken in that needs a new connection.
     next: Option<Call>,
@@ -134,8 +145,9 @@
         }
     }
 
-    fn tell(&self, call: &Call, ended: Ended, total: f64) {
-        self.driver.counted(call.name, ended, total, call.at.elapsed().as_secs_f64() * 1000.0);
+    fn tell(&self, call: &Call, result: Ended, total: f64) {
+        let took_ms = call.at.elapsed().as_secs_f64() * 1000.0;
+        (self.hears)(Counted { name: call.name, result, total, took_ms });
     }
 
     /// Serves calls on one connection until it breaks, falls silent, has stood idle or the counter has moved.
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -3,7 +3,7 @@
 
 use crate::backends::{Answered, Attempt, Backends};
 use crate::config::{Registry, ServerState};
-use crate::counter::{Call, Lanes};
+use crate::counter::{Call, Counted, Lanes};
 use crate::figures::Figures;
 use crate::http::Head;
 use crate::peers::Peers;
@@ -395,7 +395,8 @@
     }
 
     /// A call to the counter has ended.
-    pub fn counted(self: &Rc<Self>, name: u64, result: Ended, total: f64, took_ms: f64) {
+    pub fn counted(self: &Rc<Self>, counted: Counted) {
+        let Counted { name, result, total, took_ms } = counted;
         self.handle(&mut self.inner.borrow_mut(), Event::Counted { name, result, total, took_ms });
     }
 
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -114,7 +114,9 @@
     let reach = Reach { backends, lanes, peers: peers.clone(), budget: budget.clone() };
     let driver = Driver::new(settings, config.seed, names, reach, figures.clone());
     if let Some(addr) = counter {
-        counter::spawn(ends, addr, &places_now, &driver);
+        let driver = driver.clone();
+        let hears: counter::Hears = Rc::new(move |counted| driver.counted(counted));
+        counter::spawn(ends, addr, &places_now, &hears);
     }
     let version = config.known.as_ref().map_or(0, |known| known.version);
     if let Some(known) = config.known {
@@ -122,7 +124,9 @@
     }
     tokio::task::spawn_local(discovery::run(places_now, version, gateways, config.seed, driver.clone()));
     if let Some(peers) = peers {
-        tokio::task::spawn_local(peers::run(peers, config.peer_intake, driver.clone()));
+        let driver = driver.clone();
+        let hears = move |from, body| driver.message(from, body);
+        tokio::task::spawn_local(peers::run(peers, config.peer_intake, hears));
     }
     let sweeper = driver.clone();
     tokio::task::spawn_local(async move {
--- a/src/bin/heronstage/peers.rs
+++ b/src/bin/heronstage/peers.rs
@@ -1,6 +1,5 @@
 //! Short messages between gateways, as UDP datagrams.
 
-use crate::driver::Driver;
 use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -46,8 +45,8 @@
     }
 }
 
-/// Takes in messages, `intake` a second at most.
-pub async fn run(peers: Rc<Peers>, intake: f64, driver: Rc<Driver>) {
+/// Takes in messages, `intake` a second at most, each with the number of the gateway that sent it.
+pub async fn run(peers: Rc<Peers>, intake: f64, hears: impl Fn(u32, Vec<u8>)) {
     let mut buf = [0; MESSAGE_MOST + 1];
     let (mut room, mut at) = (intake, Instant::now());
     let socket = loop {
@@ -69,7 +68,7 @@
         at = Instant::now();
         if room >= 1.0 {
             room -= 1.0;
-            driver.message(from as u32, buf[..length].to_vec());
+            hears(from as u32, buf[..length].to_vec());
         }
     }
 }
