Keep the port bound on which the tests say that nobody listens

Seen once in some ten runs of tests/gateway.rs: what_never_ran_goes_to_another_backend found fewer than four requests at its server, though each was answered with 200. Only another listener can have answered one: nobody() gave its port back at once (tests/played/mod.rs), and a server of a test beside it may be given the same one. The port now stays bound without a listener, which refuses connections and can't be given away.

--- a/tests/played/mod.rs
+++ b/tests/played/mod.rs
@@ -307,9 +307,13 @@
     (addr, got)
 }
 
-/// A port on which nobody listens.
+/// A port on which nobody listens, nor will: it stays bound, so that no other test is given it.
 pub fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = socket.local_addr().unwrap();
+    std::mem::forget(socket);
+    addr
 }
 
 /// Replaces the configuration and tells the gateway, as the platform does.
