Add a command line: status, members, drain, resume, completions and man

The gateway could only be started, by an environment variable, and looked at with hand-written HTTP. Exit codes: 0 done, 1 no, 2 usage or bad input, 3 not reached.

Measured: each command as a person runs it, tests/command.rs, 8 tests; a reader that left is no failure.

--- a/src/bin/heronstage/cluster.rs
+++ b/src/bin/heronstage/cluster.rs
@@ -4,6 +4,7 @@
 use crate::driver::Driver;
 use crate::seldom::Seldom;
 use crate::server::Drains;
+use crate::status;
 use cherrytally::membership::{Action, Event, Membership, State, View, DATAGRAM_MOST, DROPPED};
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
@@ -288,6 +289,13 @@
         self.member.borrow().as_ref().map(|member| member.machine.borrow().view(member.now()))
     }
 
+    /// The view in short; none without a cluster.
+    pub fn members(&self) -> Option<status::Members> {
+        let view = self.view()?;
+        let (present, expected, majority) = (view.present, view.expected, view.majority);
+        Some(status::Members { present, expected, missing: view.missing.len(), majority })
+    }
+
     /// The figures, a line each; nothing without a cluster.
     pub fn stats(&self, text: &mut String) {
         let member = self.member.borrow();
--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -26,6 +26,8 @@
 
 /// All that a gateway is told when it starts.
 pub struct Config {
+    /// The gateway's name; empty where none is given.
+    pub name: String,
     pub listen: SocketAddr,
     /// The settings as they stand in the file.
     pub raw: serde_json::Value,
@@ -342,6 +344,7 @@
     if w.limits.peers && (file.peer_listen.is_none() || file.peers.len() != w.balancers as usize) {
         return fault("peers", "one address for each gateway and peer_listen are needed");
     }
+    let name = file.name.clone().unwrap_or_default();
     let cluster = file.cluster.map(|c| cluster(c, file.name, w.balancers)).transpose()?;
     let Ok(seed) = u64::from_str_radix(&file.seed, 16) else { return fault("seed", "not a hex number") };
     let w = file.settings;
@@ -388,6 +391,7 @@
     };
     let patience = Duration::from_secs_f64(w.domain.counter_timeout_ms / 1000.0);
     Ok(Config {
+        name,
         listen: file.listen,
         raw,
         operator: file.operator,
--- a/src/bin/heronstage/figures.rs
+++ b/src/bin/heronstage/figures.rs
@@ -1,5 +1,6 @@
 //! Figures for operators. They are only counted here; nothing is decided by them.
 
+use crate::status;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::{Display, Write};
@@ -69,6 +70,23 @@
         more(if taken { &self.accepted } else { &self.invalid });
     }
 
+    /// How requests of each class ended.
+    pub fn classes(&self) -> Vec<status::Class> {
+        let count = |ends: &Ends, end: End| ends.0[end as usize].get();
+        let class = |(name, ends): (&String, &Rc<Ends>)| status::Class {
+            name: name.clone(),
+            fulfilled: count(ends, End::Fulfilled),
+            throttled: count(ends, End::Throttled),
+            faulted: count(ends, End::Faulted),
+        };
+        self.classes.borrow().iter().map(class).collect()
+    }
+
+    /// Attempts written whole to their backends.
+    pub fn relayed_total(&self) -> u64 {
+        self.relayed.get()
+    }
+
     /// The figures as text, a line each.
     pub fn text(&self, present: &Present) -> String {
         let mut text = String::with_capacity(1024);
--- a/src/bin/heronstage/gateway.rs
+++ b/src/bin/heronstage/gateway.rs
@@ -1,37 +1,23 @@
-//! One gateway on real sockets. The decisions are in the library; here are the sockets round it.
+//! The gateway as a process: puts its parts together, reads its configuration anew, and ends as it is told to.
 
-mod backends;
-mod beside;
-mod cluster;
-mod config;
-mod counter;
-mod discovery;
-mod driver;
-mod figures;
-mod http;
-mod idle;
-mod operator;
-mod peers;
-mod room;
-mod seldom;
-mod server;
-mod tables;
-
-use backends::Backends;
-use beside::Beside;
-use cluster::Cluster;
-use config::{Config, Places};
-use driver::{Driver, Names, Reach};
-use figures::Figures;
-use room::Budget;
-use server::Server;
+use crate::backends::Backends;
+use crate::beside::Beside;
+use crate::cluster::Cluster;
+use crate::config::{self, Config, Places};
+use crate::counter;
+use crate::discovery;
+use crate::driver::{Driver, Names, Reach};
+use crate::figures::Figures;
+use crate::operator::{self, Desk};
+use crate::peers;
+use crate::room::Budget;
+use crate::server::Server;
+use crate::tables::Tables;
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tables::Tables;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Semaphore};
@@ -57,24 +43,18 @@
 /// And the last answers are written by so much later.
 const WRITTEN: Duration = Duration::from_millis(150);
 
-fn main() -> ExitCode {
+/// Runs one gateway until it is told to end. An error is one line that says why it did not start.
+pub fn serve() -> Result<(), String> {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).without_time().init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let run = |runtime: tokio::runtime::Runtime| {
-        let config = config::load()?;
-        let inherited = inherited().map_err(|e| format!("RELAY_LISTEN_FD: {e}"))?;
-        tokio::task::LocalSet::new().block_on(&runtime, run(config, inherited))
-    };
-    match runtime.map_err(|e| e.to_string()).and_then(run) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("heronstage: {message}");
-            ExitCode::from(2)
-        }
-    }
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let config = config::load()?;
+    let inherited = inherited().map_err(|e| format!("RELAY_LISTEN_FD: {e}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, run(config, inherited))
 }
 
 async fn run(config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
+    let started = Instant::now();
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let shared = inherited.is_some();
@@ -160,6 +140,8 @@
     });
     if let Some((at, listener)) = operator {
         let (server, cluster) = (server.clone(), cluster.clone());
+        let (name, descriptors) = (config.name, config.sockets);
+        let desk = Rc::new(Desk { server, cluster, name, started, descriptors });
         tokio::task::spawn_local(async move {
             let listener = match listener {
                 Some(listener) => listener,
@@ -174,7 +156,7 @@
                 Ok(at) => tracing::info!("operators call at {at}"),
                 Err(e) => tracing::warn!("operators call at {at}: {e}"),
             }
-            operator::run(listener, server, cluster).await;
+            operator::run(listener, desk).await;
         });
     }
 
--- /dev/null
+++ b/src/bin/heronstage/main.rs
@@ -0,0 +1,64 @@
+//! One gateway on real sockets, and the command line round it. The decisions are in the library.
+
+mod backends;
+mod beside;
+mod cli;
+mod cluster;
+mod config;
+mod counter;
+mod discovery;
+mod driver;
+mod figures;
+mod gateway;
+mod http;
+mod idle;
+mod operator;
+mod peers;
+mod remote;
+mod room;
+mod seldom;
+mod server;
+mod status;
+mod tables;
+
+use clap::{CommandFactory, Parser};
+use cli::{Cli, Command, Exit};
+use remote::Failure;
+use std::future::Future;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        None | Some(Command::Serve) => {
+            gateway::serve().map(|()| Exit::Done).map_err(|why| Failure { exit: Exit::Bad, why })
+        }
+        Some(Command::Status(args)) => wait(remote::status(args)),
+        Some(Command::Members(args)) => wait(remote::members(args)),
+        Some(Command::Drain(args)) => wait(remote::drain(args)),
+        Some(Command::Resume(args)) => wait(remote::resume(args)),
+        Some(Command::Completions { shell }) => {
+            let mut text = Vec::new();
+            clap_complete::generate(shell, &mut Cli::command(), "heronstage", &mut text);
+            remote::made(&text)
+        }
+        Some(Command::Man) => {
+            let mut text = Vec::new();
+            // A Vec takes every write.
+            let _ = clap_mangen::Man::new(Cli::command()).render(&mut text);
+            remote::made(&text)
+        }
+    };
+    match done {
+        Ok(exit) => exit.into(),
+        Err(Failure { exit: Exit::Done, .. }) => Exit::Done.into(),
+        Err(Failure { exit, why }) => {
+            eprintln!("heronstage: {why}");
+            exit.into()
+        }
+    }
+}
+
+fn wait(command: impl Future<Output = Result<Exit, Failure>>) -> Result<Exit, Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|e| Failure { exit: Exit::No, why: e.to_string() })?.block_on(command)
+}
--- a/src/bin/heronstage/operator.rs
+++ b/src/bin/heronstage/operator.rs
@@ -3,6 +3,7 @@
 use crate::cluster::Cluster;
 use crate::seldom::Seldom;
 use crate::server::Server;
+use crate::status::{Phase, Process, Servers, Status};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -11,13 +12,14 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Callers at once. Their descriptors are kept for them, so that busy clients can't take them.
 pub const PLACES: usize = 16;
@@ -26,17 +28,49 @@
 /// And one that does not take its answer is left.
 const CALL_TIME: Duration = Duration::from_secs(2);
 
+/// What operators are told of, and may change.
+pub struct Desk {
+    pub server: Rc<Server>,
+    pub cluster: Rc<Cluster>,
+    /// The gateway's name; empty where its configuration gives none.
+    pub name: String,
+    pub started: Instant,
+    /// Descriptors that the process may hold.
+    pub descriptors: usize,
+}
+
+impl Desk {
+    fn status(&self) -> Status {
+        let mut status = Status {
+            name: self.name.clone(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            pid: std::process::id(),
+            uptime_s: self.started.elapsed().as_secs_f64(),
+            phase: Phase::Unready,
+            connections: 0,
+            open_requests: 0,
+            relayed: 0,
+            classes: Vec::new(),
+            servers: Servers { listed: 0, avoided: 0 },
+            members: self.cluster.members(),
+            process: Process::now(self.descriptors),
+        };
+        self.server.describe(&mut status);
+        status
+    }
+}
+
 /// Answers operators for as long as the program runs.
-pub async fn run(listener: TcpListener, server: Rc<Server>, cluster: Rc<Cluster>) {
+pub async fn run(listener: TcpListener, desk: Rc<Desk>) {
     let (places, seldom) = (Arc::new(Semaphore::new(PLACES)), Seldom::default());
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (server, cluster) = (server.clone(), cluster.clone());
+                let desk = desk.clone();
                 tokio::task::spawn_local(async move {
                     // A caller that breaks off or says nothing is its own affair.
-                    let _ = timeout(CALL_TIME, call(stream, &server, &cluster)).await;
+                    let _ = timeout(CALL_TIME, call(stream, &desk)).await;
                     drop(place);
                 });
             }
@@ -48,9 +82,9 @@
     }
 }
 
-async fn call(stream: TcpStream, server: &Rc<Server>, cluster: &Cluster) -> hyper::Result<()> {
+async fn call(stream: TcpStream, desk: &Desk) -> hyper::Result<()> {
     let service = service_fn(|request| {
-        let reply = answer(&request, server, cluster);
+        let reply = answer(&request, desk);
         async move { Ok::<_, Infallible>(reply) }
     });
     http1::Builder::new()
@@ -61,9 +95,10 @@
         .await
 }
 
-fn answer(request: &Request<Incoming>, server: &Rc<Server>, cluster: &Cluster) -> Response<Full<Bytes>> {
+fn answer(request: &Request<Incoming>, desk: &Desk) -> Response<Full<Bytes>> {
+    let (server, cluster) = (&desk.server, &desk.cluster);
     let allowed = match request.uri().path() {
-        "/admin/health" | "/admin/stats" | "/admin/members" => Method::GET,
+        "/admin/health" | "/admin/stats" | "/admin/status" | "/admin/members" => Method::GET,
         "/admin/quiesce" | "/admin/resume" => Method::POST,
         _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
     };
@@ -84,9 +119,9 @@
             cluster.stats(&mut stats);
             text(StatusCode::OK, stats)
         }
-        "/admin/members" => match cluster.view().map(|view| serde_json::to_vec_pretty(&view)) {
-            Some(Ok(view)) => body(StatusCode::OK, view, "application/json"),
-            Some(Err(e)) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
+        "/admin/status" => json(&desk.status()),
+        "/admin/members" => match cluster.view() {
+            Some(view) => json(&view),
             None => text(StatusCode::NOT_FOUND, "not a member of a cluster now\n"),
         },
         _ if server.ready() => text(StatusCode::OK, "ready\n"),
@@ -94,6 +129,16 @@
     }
 }
 
+fn json(told: &impl Serialize) -> Response<Full<Bytes>> {
+    match serde_json::to_vec_pretty(told) {
+        Ok(mut told) => {
+            told.push(b'\n');
+            body(StatusCode::OK, told, "application/json")
+        }
+        Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
+    }
+}
+
 fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
     body(status, text, "text/plain; charset=utf-8")
 }
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -5,6 +5,7 @@
 use crate::figures::{End, Figures, Present};
 use crate::room::{Budget, Content, More, Part, Short, Upload, BODY_MOST, HELD_MOST};
 use crate::seldom::Seldom;
+use crate::status::{Phase, Servers, Status};
 use crate::tables::{Class, Tables};
 use bytes::{Bytes, BytesMut};
 use cherrytally::RequestId;
@@ -53,6 +54,7 @@
     budget: Rc<Budget>,
     drain: watch::Sender<Drain>,
     busy: Cell<usize>,
+    connections: Cell<usize>,
     /// Places for connections that are free.
     places: Arc<Semaphore>,
 }
@@ -206,8 +208,8 @@
         driver: Rc<Driver>, tables: Tables, figures: Rc<Figures>, budget: Rc<Budget>, places: Arc<Semaphore>,
     ) -> Rc<Self> {
         let (tables, drain) = (RefCell::new(tables), watch::Sender::new(Drain::No));
-        let (open, busy) = (Cell::default(), Cell::default());
-        Rc::new(Server { driver, tables, figures, open, budget, drain, busy, places })
+        let (open, busy, connections) = Default::default();
+        Rc::new(Server { driver, tables, figures, open, budget, drain, busy, connections, places })
     }
 
     /// Takes over the settings of another configuration, all or none of them. What is open goes on by the former
@@ -230,6 +232,22 @@
         self.figures.text(&Present { open: self.open.get(), listed, avoided })
     }
 
+    /// The part of the process's status that lies with clients and servers.
+    pub fn describe(&self, status: &mut Status) {
+        let (listed, avoided) = self.driver.listed();
+        status.phase = match *self.drain.borrow() {
+            Drain::No if self.driver.ready() => Phase::Ready,
+            Drain::No => Phase::Unready,
+            Drain::Until(_) => Phase::Draining,
+            Drain::Ends(_) => Phase::Ending,
+        };
+        status.connections = self.connections.get();
+        status.open_requests = self.open.get();
+        status.relayed = self.figures.relayed_total();
+        status.classes = self.figures.classes();
+        status.servers = Servers { listed, avoided };
+    }
+
     /// To hear of drains.
     pub fn drains(&self) -> Drains {
         Drains(self.drain.subscribe())
@@ -299,7 +317,9 @@
             };
             let server = self.clone();
             tokio::task::spawn_local(async move {
-                server.connection(stream).await;
+                server.connections.set(server.connections.get() + 1);
+                server.clone().connection(stream).await;
+                server.connections.set(server.connections.get() - 1);
                 drop(place);
             });
         }
--- /dev/null
+++ b/tests/command.rs
@@ -0,0 +1,168 @@
+//! Each command as a person runs it from a shell, against a gateway on loopback.
+#![allow(missing_docs)]
+
+mod played;
+
+use assert_cmd::Command;
+use played::*;
+use std::net::SocketAddr;
+use std::sync::mpsc::channel;
+
+fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heronstage"));
+    command.env_remove("RELAY_CONFIG").env_remove("RELAY_OPERATOR").timeout(LONG);
+    command
+}
+
+/// Runs a command; its exit code and what it printed on standard output and error.
+fn run(args: &[&str], at: Option<SocketAddr>) -> (i32, String, String) {
+    let mut command = program();
+    command.args(args);
+    if let Some(at) = at {
+        command.args(["--operators", &at.to_string()]);
+    }
+    let output = command.output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn without_arguments_it_is_the_platforms_gateway() {
+    let (code, out, err) = run(&[], None);
+    assert_eq!((code, out.as_str(), err.as_str()), (2, "", "heronstage: RELAY_CONFIG is not set\n"));
+    // All other tests of real gateways start it so; `serve` does the same.
+    assert_eq!(run(&["serve"], None), (code, out, err));
+}
+
+#[test]
+fn what_is_no_command_is_told_with_2() {
+    for args in
+        [&["frobnicate"][..], &["drain"], &["status", "--operators", "nowhere"], &["completions", "tcsh"]]
+    {
+        let (code, out, err) = run(args, None);
+        assert_eq!((code, out.as_str()), (2, ""), "{args:?}");
+        assert!(err.contains("Usage") || err.contains("--help"), "{args:?}: {err}");
+    }
+    let (code, _, err) = run(&["drain", "--timeout=-1", "--wait", "--operators", "127.0.0.1:1"], None);
+    assert!(code == 2 && err.contains("--timeout"), "{code}: {err}");
+}
+
+#[test]
+fn a_gateway_that_is_not_there_is_told_with_3() {
+    let silent = serve(|_| Play::Hush(channel().0));
+    let other = serve(|_| Play::End(say(200, "", "hello")));
+    for command in ["status", "members", "drain", "resume"] {
+        let (code, out, err) = run(&[command], Some(nobody()));
+        assert_eq!((code, out.as_str()), (3, ""), "{command}: {err}");
+    }
+    assert_eq!(run(&["status"], Some(silent)).0, 3);
+    let (code, out, err) = run(&["status"], Some(other));
+    assert!(code == 3 && out.is_empty() && err.contains("not a gateway's answer"), "{code}: {err}");
+}
+
+#[test]
+fn status_tells_what_became_of_requests() {
+    let (backend, _) = good();
+    let gateway = Gateway::new(&operated(&[backend]));
+    let at = gateway.operator();
+    for customer in 0..3 {
+        assert_eq!(gateway.get(customer, 1).status(), 200);
+    }
+    assert_eq!(gateway.get(7, 9).status(), 429);
+    let (code, out, err) = run(&["status", "--json"], Some(at));
+    assert_eq!((code, err.as_str()), (0, ""));
+    let status: serde_json::Value = serde_json::from_str(&out).unwrap();
+    assert_eq!((&status["name"], &status["phase"]), (&"n0".into(), &"ready".into()));
+    assert_eq!(status["pid"], gateway.child.id());
+    let look = status["classes"].as_array().unwrap().iter().find(|c| c["name"] == "look").unwrap();
+    assert_eq!((&look["fulfilled"], &look["throttled"], &look["faulted"]), (&3.into(), &1.into(), &0.into()));
+    assert_eq!((&status["relayed"], &status["servers"]["listed"]), (&3.into(), &1.into()));
+    assert!(status["process"]["resident_bytes"].as_u64().unwrap() > 1 << 20, "{out}");
+    assert!(status["process"]["descriptors"].as_u64().unwrap() > 5, "{out}");
+    assert_eq!(status["process"]["descriptors_most"], 256);
+    let (code, out, _) = run(&["status"], Some(at));
+    assert_eq!(code, 0);
+    assert!(out.contains("servers        1 listed, 0 avoided\n"), "{out}");
+    assert!(out.contains("class  served  refused  failed\n"), "{out}");
+    assert!(out.contains("look   3       1        0\n"), "{out}");
+}
+
+#[test]
+fn a_drain_is_waited_for_and_undone() {
+    let (begun_to, begun) = channel();
+    let (go, gone) = channel::<()>();
+    let gone = std::sync::Mutex::new(gone);
+    let backend = serve(move |_| {
+        let _ = begun_to.send(());
+        let _ = gone.lock().unwrap().recv_timeout(LONG);
+        Play::Say(say(200, "", "done"))
+    });
+    let gateway = Gateway::new(&operated(&[backend]));
+    let at = gateway.operator();
+    let client = std::thread::spawn({
+        let mut open = gateway.open();
+        move || {
+            use std::io::Write;
+            open.get_mut().write_all(look(1, 1, 20_000).as_bytes()).unwrap();
+            read(&mut open).unwrap().status()
+        }
+    });
+    begun.recv_timeout(LONG).unwrap();
+    let (code, out, err) = run(&["drain", "--wait", "--timeout", "0.2"], Some(at));
+    assert_eq!((code, out.as_str()), (1, ""));
+    assert!(err.contains("not drained: 1 requests open, 1 connections"), "{err}");
+    go.send(()).unwrap();
+    let (code, out, err) = run(&["drain", "--wait"], Some(at));
+    assert_eq!((code, out.as_str(), err.as_str()), (0, "drained\n", ""));
+    assert_eq!(client.join().unwrap(), 200);
+    assert!(!gateway.ready());
+    assert_eq!(
+        run(&["resume", "--json"], Some(at)),
+        (0, "{\"state\":\"resumed\"}\n".to_owned(), String::new())
+    );
+    assert!(gateway.ready());
+}
+
+#[test]
+fn members_are_shown_or_it_is_told_that_there_are_none() {
+    let alone = Gateway::new(&operated(&[nobody()]));
+    let at = alone.operator();
+    let (code, out, err) = run(&["members"], Some(at));
+    assert_eq!((code, out.as_str()), (1, ""));
+    assert!(err.contains("not a member of a cluster"), "{err}");
+    let mut config = operated(&[nobody()]);
+    config["cluster"] = serde_json::json!({"name": "granite", "listen": "127.0.0.1:0"});
+    let gateway = Gateway::started(start(&config));
+    // Lines on the cluster come between.
+    let at = loop {
+        let line = gateway.log.recv_timeout(LONG).unwrap();
+        if let Some((_, at)) = line.split_once("operators call at ") {
+            break at.parse().unwrap();
+        }
+    };
+    let (code, out, err) = run(&["members"], Some(at));
+    assert_eq!((code, err.as_str()), (0, ""));
+    assert!(out.starts_with("cluster granite: 1 present, 1 expected\n"), "{out}");
+    assert!(out.contains("n0 ") && out.contains("this one"), "{out}");
+    let view: serde_json::Value = serde_json::from_str(&run(&["members", "--json"], Some(at)).1).unwrap();
+    assert_eq!(view["standing"], "member");
+}
+
+#[test]
+fn completions_and_the_manual_name_every_command() {
+    let commands = ["serve", "status", "members", "drain", "resume"];
+    for args in [&["completions", "bash"][..], &["completions", "zsh"], &["completions", "fish"], &["man"]] {
+        let (code, out, err) = run(args, None);
+        assert_eq!((code, err.as_str()), (0, ""));
+        assert!(commands.iter().all(|command| out.contains(command)), "{args:?}: {out}");
+    }
+}
+
+#[test]
+fn a_closed_pipe_is_no_failure() {
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_heronstage"));
+    let output = command.arg("man").stdout(writer).stderr(std::process::Stdio::piped()).output().unwrap();
+    assert_eq!((output.status.code(), output.stderr.as_slice()), (Some(0), &b""[..]));
+}
