Read a configuration for people in layers, and tell every mistake of it at once

A wrong file was told one mistake at a time, by a JSON form that nobody new can write. There is now one typed structure (config/form.rs) that serves two forms: TOML or JSON for people, with units, in layers (default, file, environment, flags; figment), and the platform's JSON, read as it was. check, config show, schema, example and keys are made from the structure (schemars, jsonschema), and a test fails where the documents have moved on. A mistake names file and line, key and what is wanted; what keys mean together is checked with what is wrong replaced by something that fits. reload (POST /admin/reload) takes a file whole or not at all and names the keys that changed; one that needs a restart turns the file for people down.

--- a/src/bin/heronstage/cli.rs
+++ b/src/bin/heronstage/cli.rs
@@ -1,8 +1,10 @@
 //! The command line: what may be asked of the program, and its exit codes.
 
+use crate::config::Source;
 use clap::{Args, Parser, Subcommand};
 use clap_complete::Shell;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -38,8 +40,13 @@
 
 #[derive(Subcommand)]
 pub enum Command {
-    /// Serve until SIGTERM
-    Serve,
+    /// Serve until SIGTERM, by --config or the file that RELAY_CONFIG names
+    Serve(Serve),
+    /// Tell every mistake of a configuration; 2: it has some
+    Check(Layers),
+    /// Show what a configuration says, and what may be said
+    #[command(subcommand)]
+    Config(Configuration),
     /// Show what a running gateway does
     Status(Call),
     /// Show the cluster as a running gateway sees it; 1: it is a member of none
@@ -48,6 +55,8 @@
     Drain(Drain),
     /// Take clients again after a drain; 1: the gateway is ending
     Resume(Call),
+    /// Have the gateway read its configuration anew, and tell which keys changed; 1: it was turned down
+    Reload(Call),
     /// Print a shell's completions
     Completions {
         /// The shell
@@ -57,6 +66,66 @@
     Man,
 }
 
+/// A file and what comes over it.
+#[derive(Args)]
+pub struct Layers {
+    /// TOML or JSON, by its ending; the platform's own form is JSON with `settings`
+    #[arg(value_name = "FILE")]
+    pub file: PathBuf,
+    /// Set a key over the file and the environment
+    #[arg(long, value_name = "KEY=VALUE", value_parser = pair)]
+    pub set: Vec<(String, String)>,
+}
+
+impl From<Layers> for Source {
+    fn from(layers: Layers) -> Self {
+        Source::File { path: layers.file, set: layers.set }
+    }
+}
+
+#[derive(Args)]
+pub struct Serve {
+    /// TOML or JSON, by its ending; variables like HERONSTAGE_LIMITS__DESCRIPTORS come over it
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+    /// Set a key over the file and the environment
+    #[arg(long, value_name = "KEY=VALUE", value_parser = pair, requires = "config")]
+    pub set: Vec<(String, String)>,
+}
+
+impl From<Serve> for Source {
+    fn from(serve: Serve) -> Self {
+        match serve.config {
+            Some(path) => Source::File { path, set: serve.set },
+            None => Source::Platform,
+        }
+    }
+}
+
+#[derive(Subcommand)]
+pub enum Configuration {
+    /// Show what holds, and where each value comes from: default, file, environment or flag
+    Show {
+        #[command(flatten)]
+        layers: Layers,
+        /// Print JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Print the JSON Schema of the file
+    Schema,
+    /// Print a commented file that starts as it stands
+    Example,
+    /// Print all keys as a table in Markdown
+    Keys,
+}
+
+fn pair(text: &str) -> Result<(String, String), String> {
+    let pair = text.split_once('=').filter(|(key, _)| !key.is_empty());
+    let (key, value) = pair.ok_or_else(|| "KEY=VALUE is wanted".to_owned())?;
+    Ok((key.to_owned(), value.to_owned()))
+}
+
 /// Whom to call, and how to print.
 #[derive(Args)]
 pub struct Call {
--- a/src/bin/heronstage/gateway.rs
+++ b/src/bin/heronstage/gateway.rs
@@ -3,7 +3,7 @@
 use crate::backends::Backends;
 use crate::beside::Beside;
 use crate::cluster::Cluster;
-use crate::config::{self, Config, Places};
+use crate::config::{Changes, Config, Places, Source};
 use crate::counter;
 use crate::discovery;
 use crate::driver::{Driver, Names, Reach};
@@ -13,7 +13,7 @@
 use crate::room::Budget;
 use crate::server::Server;
 use crate::tables::Tables;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -44,16 +44,18 @@
 const WRITTEN: Duration = Duration::from_millis(150);
 
 /// Runs one gateway until it is told to end. An error is one line that says why it did not start.
-pub fn serve() -> Result<(), String> {
+pub fn serve(source: Source) -> Result<(), String> {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).without_time().init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
-    let config = config::load()?;
+    let config = source.load()?;
     let inherited = inherited().map_err(|e| format!("RELAY_LISTEN_FD: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, run(config, inherited))
+    tokio::task::LocalSet::new().block_on(&runtime, run(source, config, inherited))
 }
 
-async fn run(config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
+async fn run(
+    source: Source, mut config: Config, inherited: Option<std::net::TcpListener>,
+) -> Result<(), String> {
     let started = Instant::now();
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
@@ -70,7 +72,7 @@
     };
     let peers = match config.peer_listen.filter(|_| config.settings.limits.peers) {
         Some(at) => {
-            let peers = peers::Peers::new(at, config.peers, config.peers_all);
+            let peers = peers::Peers::new(at, config.peers.clone(), config.peers_all);
             match peers.bind().await {
                 Err(e) if !taken(&e) => return Err(format!("peer_listen {at}: {e}")),
                 _ => Some(Rc::new(peers)),
@@ -84,12 +86,12 @@
     let counter = config.settings.counter.and(config.places.counter);
     let (moves, places_now) = watch::channel(config.places);
     let (lanes, ends) = counter::Lanes::new();
-    let names = Names { zones: config.zones, kinds: config.kinds };
-    let mut settings = config.settings;
+    let names = Names { zones: config.zones.clone(), kinds: config.kinds.clone() };
+    let mut settings = config.settings.clone();
     let (figures, mut tables) = (Rc::new(Figures::default()), Tables::default());
     tables.take(&config.classes, &config.plans, &mut settings, &figures)?;
     let gateways = settings.gateways;
-    let budget = Rc::new(Budget::new(config.memory_mb));
+    let budget = Rc::new(Budget::new(config.memory));
     let lanes = counter.map(|_| lanes);
     let reach = Reach { backends, lanes, peers: peers.clone(), budget: budget.clone() };
     let driver = Driver::new(settings, config.seed, names, reach, figures.clone());
@@ -98,8 +100,9 @@
         let hears: counter::Hears = Rc::new(move |counted| driver.counted(counted));
         counter::spawn(ends, addr, &places_now, &hears);
     }
-    let version = config.known.as_ref().map_or(0, |known| known.version);
-    if let Some(known) = config.known {
+    let known = config.known.take();
+    let version = known.as_ref().map_or(0, |known| known.version);
+    if let Some(known) = known {
         driver.list(known);
     }
     tokio::task::spawn_local(discovery::run(places_now, version, gateways, config.seed, driver.clone()));
@@ -124,9 +127,12 @@
     }
     let server = Server::new(driver.clone(), tables, figures.clone(), budget, free.clone());
     let cluster = Cluster::new(driver.clone(), config.seed, shared, server.drains());
-    let joins = cluster.prepare(config.cluster)?;
-    let hears = (server.clone(), cluster.clone());
-    tokio::task::spawn_local(reload(hangup, config.raw, moves, figures, hears));
+    let joins = cluster.prepare(config.cluster.clone())?;
+    let (name, descriptors) = (config.name.clone(), config.sockets);
+    let reloads = Reloads { source, config: config.into(), moves, figures };
+    let desk = Desk { server: server.clone(), cluster: cluster.clone(), reloads, name, started, descriptors };
+    let desk = Rc::new(desk);
+    tokio::task::spawn_local(on_hangup(hangup, desk.clone()));
     tracing::info!("listening on {}", listener.local_addr().map_err(|e| e.to_string())?);
     cluster.apply(joins);
     let accepting = server.clone();
@@ -139,9 +145,6 @@
         accepting.accept(listener).await;
     });
     if let Some((at, listener)) = operator {
-        let (server, cluster) = (server.clone(), cluster.clone());
-        let (name, descriptors) = (config.name, config.sockets);
-        let desk = Rc::new(Desk { server, cluster, name, started, descriptors });
         tokio::task::spawn_local(async move {
             let listener = match listener {
                 Some(listener) => listener,
@@ -185,39 +188,61 @@
     Ok(())
 }
 
-/// At each SIGHUP reads the configuration anew: where discovery and the counter are from now on, and other
-/// settings. A file that is broken anywhere changes nothing.
-async fn reload(
-    mut hangup: Signal, mut raw: serde_json::Value, moves: watch::Sender<Places>, figures: Rc<Figures>,
-    (server, cluster): (Rc<Server>, Rc<Cluster>),
-) {
-    while hangup.recv().await.is_some() {
-        let read = config::load().and_then(|config| match Config::lacks(&raw, &config.raw) {
-            Some(key) => Err(format!("configuration: settings.{key}: missing")),
-            // The list in hand and the module know zones and kinds by their places.
-            None if config.raw["zones"] != raw["zones"] || config.raw["kinds"] != raw["kinds"] => {
-                Err("configuration: settings: other zones or kinds need a restart".to_owned())
-            }
-            None => Ok(config),
-        });
-        let taken = read.and_then(|config| {
-            // What can fail comes before the first change.
-            let change = cluster.prepare(config.cluster.clone())?;
-            if config.raw != raw {
-                server.retune(&config)?;
-            }
-            cluster.apply(change);
-            raw = config.raw;
-            Ok(config.places)
-        });
-        figures.configured(taken.is_ok());
-        match taken {
-            Ok(places) => {
-                tracing::info!("SIGHUP: discovery at {}, counter at {:?}", places.discovery, places.counter);
-                moves.send_replace(places);
+/// Reads the configuration anew: where discovery and the counter are from now on, and other settings. A file that is
+/// broken anywhere changes nothing.
+pub struct Reloads {
+    source: Source,
+    /// What was taken last.
+    config: RefCell<Config>,
+    moves: watch::Sender<Places>,
+    figures: Rc<Figures>,
+}
+
+impl Reloads {
+    /// Takes what is to be read now, whole or not at all; tells which keys changed.
+    pub fn reload(&self, server: &Server, cluster: &Rc<Cluster>) -> Result<Changes, String> {
+        let taken = self.take(server, cluster);
+        self.figures.configured(taken.is_ok());
+        match &taken {
+            Ok(changes) => {
+                let Places { discovery, counter, .. } = *self.moves.borrow();
+                tracing::info!("SIGHUP: discovery at {discovery}, counter at {counter:?}");
+                if !changes.keys.is_empty() {
+                    tracing::info!("changed: {}", changes.keys.join(", "));
+                }
+                if !changes.restart.is_empty() {
+                    tracing::warn!("these hold after a restart: {}", changes.restart.join(", "));
+                }
             }
             Err(e) => tracing::warn!("SIGHUP: {e}; what was read before stands"),
         }
+        taken
+    }
+
+    fn take(&self, server: &Server, cluster: &Rc<Cluster>) -> Result<Changes, String> {
+        let mut later = self.source.load()?;
+        let mut config = self.config.borrow_mut();
+        let changes = config.changes(&later);
+        if let Some(why) = config.turns_down(&later, &changes) {
+            return Err(why);
+        }
+        // What can fail comes before the first change.
+        let change = cluster.prepare(later.cluster.clone())?;
+        if later.raw != config.raw {
+            server.retune(&later)?;
+        }
+        cluster.apply(change);
+        self.moves.send_replace(later.places);
+        later.known = None;
+        *config = later;
+        Ok(changes)
+    }
+}
+
+async fn on_hangup(mut hangup: Signal, desk: Rc<Desk>) {
+    while hangup.recv().await.is_some() {
+        // What came of it stands in the log and the figures.
+        let _ = desk.reload();
     }
 }
 
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -23,15 +23,18 @@
 
 use clap::{CommandFactory, Parser};
 use cli::{Cli, Command, Exit};
+use config::Source;
 use remote::Failure;
 use std::future::Future;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        None | Some(Command::Serve) => {
-            gateway::serve().map(|()| Exit::Done).map_err(|why| Failure { exit: Exit::Bad, why })
-        }
+        None => serve(Source::Platform),
+        Some(Command::Serve(args)) => serve(args.into()),
+        Some(Command::Check(layers)) => remote::check(&layers.into()),
+        Some(Command::Config(show)) => remote::config(show),
+        Some(Command::Reload(args)) => wait(remote::reload(args)),
         Some(Command::Status(args)) => wait(remote::status(args)),
         Some(Command::Members(args)) => wait(remote::members(args)),
         Some(Command::Drain(args)) => wait(remote::drain(args)),
@@ -52,12 +55,16 @@
         Ok(exit) => exit.into(),
         Err(Failure { exit: Exit::Done, .. }) => Exit::Done.into(),
         Err(Failure { exit, why }) => {
-            eprintln!("heronstage: {why}");
+            why.lines().for_each(|line| eprintln!("heronstage: {line}"));
             exit.into()
         }
     }
 }
 
+fn serve(source: Source) -> Result<Exit, Failure> {
+    gateway::serve(source).map(|()| Exit::Done).map_err(|why| Failure { exit: Exit::Bad, why })
+}
+
 fn wait(command: impl Future<Output = Result<Exit, Failure>>) -> Result<Exit, Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.map_err(|e| Failure { exit: Exit::No, why: e.to_string() })?.block_on(command)
--- a/src/bin/heronstage/operator.rs
+++ b/src/bin/heronstage/operator.rs
@@ -1,6 +1,8 @@
 //! Operators: their own address, where each connection carries one call.
 
 use crate::cluster::Cluster;
+use crate::config::Changes;
+use crate::gateway::Reloads;
 use crate::seldom::Seldom;
 use crate::server::Server;
 use crate::status::{Phase, Process, Servers, Status};
@@ -30,6 +32,7 @@
 
 /// What operators are told of, and may change.
 pub struct Desk {
+    pub reloads: Reloads,
     pub server: Rc<Server>,
     pub cluster: Rc<Cluster>,
     /// The gateway's name; empty where its configuration gives none.
@@ -40,6 +43,11 @@
 }
 
 impl Desk {
+    /// Reads the configuration anew.
+    pub fn reload(&self) -> Result<Changes, String> {
+        self.reloads.reload(&self.server, &self.cluster)
+    }
+
     fn status(&self) -> Status {
         let mut status = Status {
             name: self.name.clone(),
@@ -99,7 +107,7 @@
     let (server, cluster) = (&desk.server, &desk.cluster);
     let allowed = match request.uri().path() {
         "/admin/health" | "/admin/stats" | "/admin/status" | "/admin/members" => Method::GET,
-        "/admin/quiesce" | "/admin/resume" => Method::POST,
+        "/admin/quiesce" | "/admin/resume" | "/admin/reload" => Method::POST,
         _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
     };
     if *request.method() != allowed {
@@ -119,6 +127,10 @@
             cluster.stats(&mut stats);
             text(StatusCode::OK, stats)
         }
+        "/admin/reload" => match desk.reload() {
+            Ok(changes) => json(&changes),
+            Err(why) => text(StatusCode::CONFLICT, format!("{why}\n")),
+        },
         "/admin/status" => json(&desk.status()),
         "/admin/members" => match cluster.view() {
             Some(view) => json(&view),
--- a/src/bin/heronstage/remote.rs
+++ b/src/bin/heronstage/remote.rs
@@ -1,6 +1,7 @@
 //! Calls to a running gateway at its operators' address, as a person makes them from a shell.
 
-use crate::cli::{Call, Drain, Exit};
+use crate::cli::{Call, Configuration, Drain, Exit};
+use crate::config::{self, Changes, Shown, Source};
 use crate::status::{Phase, Status};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -203,6 +204,27 @@
     Ok(Exit::Done)
 }
 
+/// `reload`
+pub async fn reload(args: Call) -> Outcome {
+    let reply = ask(args.operators, Method::POST, "/admin/reload").await?;
+    if args.json {
+        print(reply.body)?;
+        return Ok(Exit::Done);
+    }
+    let changes: Changes =
+        serde_json::from_slice(&reply.body).map_err(|e| Failure::odd(args.operators, e))?;
+    let mut text = String::new();
+    for key in &changes.keys {
+        let later = if changes.restart.contains(key) { ", holds after a restart" } else { "" };
+        let _ = writeln!(text, "changed: {key}{later}");
+    }
+    if changes.keys.is_empty() {
+        text.push_str("nothing changed\n");
+    }
+    print(text)?;
+    Ok(Exit::Done)
+}
+
 /// `resume`
 pub async fn resume(args: Call) -> Outcome {
     ask(args.operators, Method::POST, "/admin/resume").await?;
@@ -245,7 +267,39 @@
 }
 
 /// Prints what was made at once.
-pub fn made(text: &[u8]) -> Outcome {
+pub fn made(text: impl AsRef<[u8]>) -> Outcome {
     print(text)?;
     Ok(Exit::Done)
 }
+
+/// `check`
+pub fn check(source: &Source) -> Outcome {
+    let mistakes = source.mistakes();
+    if mistakes.is_empty() {
+        return made("no mistake\n");
+    }
+    let lines: Vec<_> = mistakes.iter().map(ToString::to_string).collect();
+    Err(Failure { exit: Exit::Bad, why: lines.join("\n") })
+}
+
+/// `config`
+pub fn config(show: Configuration) -> Outcome {
+    match show {
+        Configuration::Schema => made(format!("{:#}\n", config::schema())),
+        Configuration::Example => made(config::example()),
+        Configuration::Keys => made(config::keys()),
+        Configuration::Show { layers, json } => {
+            let shown = Source::from(layers).show().map_err(|why| Failure { exit: Exit::Bad, why })?;
+            let Shown(keys) = shown;
+            if json {
+                let row = |(key, value, from)| serde_json::json!({"key": key, "value": value, "from": from});
+                let rows: Vec<_> = keys.into_iter().map(row).collect();
+                return made(format!("{:#}\n", serde_json::Value::from(rows)));
+            }
+            let rows: String =
+                keys.iter().map(|(key, value, from)| format!("{key}\t{value}\t{from}\n")).collect();
+            table(&rows)?;
+            Ok(Exit::Done)
+        }
+    }
+}
--- a/src/bin/heronstage/room.rs
+++ b/src/bin/heronstage/room.rs
@@ -36,9 +36,10 @@
 pub type Part = Option<OwnedSemaphorePermit>;
 
 impl Budget {
-    /// An eighth of the machine's memory for each pool.
-    pub fn new(memory_mb: usize) -> Self {
-        let pool = || Arc::new(Semaphore::new((memory_mb * 1024 * 1024 / 8).max(2 * STREAM)));
+    /// An eighth of the memory, in bytes, for each pool.
+    pub fn new(memory: u64) -> Self {
+        let part = usize::try_from(memory / 8).unwrap_or(usize::MAX).min(Semaphore::MAX_PERMITS);
+        let pool = || Arc::new(Semaphore::new(part.max(2 * STREAM)));
         Budget { bodies: pool(), answers: pool() }
     }
 
