Write logs by a thread of their own with fields, and figures as OpenMetrics

The log had no fields and was written by the gateway's only thread: a reader that stopped reading stalled every request. Figures were text written by hand, without one histogram. The log now goes through a bounded queue (tracing-appender; 1,024 lines, dropped ones counted), as text or JSON, with a span and a line for each request at level debug (customer as a keyed hash), levels that change without a restart, and warnings held back with their number. Figures are prometheus-client's: /admin/stats keeps names and values, /metrics has OpenMetrics with times by class, outcome and place. log and top are commands on them. New parts cost nothing where they are off, but the thread and the histograms are always there.

--- a/src/bin/heronstage/cli.rs
+++ b/src/bin/heronstage/cli.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use tracing_subscriber::filter::Targets;
 
 /// How a command ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +58,24 @@
     Resume(Call),
     /// Have the gateway read its configuration anew, and tell which keys changed; 1: it was turned down
     Reload(Call),
+    /// Change what a running gateway logs until its configuration is read anew, like `info,request=debug`
+    Log {
+        /// A level, and levels for parts by their names in the log
+        levels: Targets,
+        #[command(flatten)]
+        call: Call,
+    },
+    /// Show over and over what a running gateway does; lines where the output is no terminal
+    Top {
+        #[command(flatten)]
+        call: Call,
+        /// Seconds between two looks
+        #[arg(long, value_name = "SECONDS", default_value = "1", value_parser = seconds)]
+        every: Duration,
+        /// End after so many looks
+        #[arg(long, value_name = "NUMBER")]
+        looks: Option<u64>,
+    },
     /// Print a shell's completions
     Completions {
         /// The shell
--- a/src/bin/heronstage/cluster.rs
+++ b/src/bin/heronstage/cluster.rs
@@ -2,12 +2,16 @@
 
 use crate::config;
 use crate::driver::Driver;
+use crate::figures::{count, gauge};
 use crate::seldom::Seldom;
 use crate::server::Drains;
 use crate::status;
 use cherrytally::membership::{Action, Event, Membership, State, View, DATAGRAM_MOST, DROPPED};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
 use std::cell::{Cell, RefCell};
-use std::fmt::Write;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -296,37 +300,48 @@
         Some(status::Members { present, expected, missing: view.missing.len(), majority })
     }
 
-    /// The figures, a line each; nothing without a cluster.
-    pub fn stats(&self, text: &mut String) {
+    /// Puts the figures in; nothing without a cluster.
+    pub fn figures(&self, into: &mut Registry) {
         let member = self.member.borrow();
         let (Some(member), Some(view)) = (&*member, self.view()) else { return };
         let machine = member.machine.borrow();
         let counts = machine.counts();
-        let mut line = |name: &str, value: u64| {
-            // A String takes every write.
-            let _ = writeln!(text, "relay_{name} {value}");
-        };
-        line("members_present", view.present.into());
-        line("members_expected", view.expected.unwrap_or(0).into());
-        line("members_majority", u64::from(view.majority != Some(false)));
-        line("members_missing", view.missing.len() as u64);
-        line("members_health", view.health.into());
-        line("members_incarnation", view.incarnation.into());
-        line("members_suspicions_total", counts.suspicions);
-        line("members_suspicions_cleared_total", counts.cleared);
-        line("members_refutations_total", counts.refutations);
-        line("members_datagrams_sent_total", counts.sent);
-        line("members_bytes_sent_total", counts.sent_bytes);
-        line("members_datagrams_received_total", counts.received);
-        line("members_bytes_received_total", counts.received_bytes);
-        line("members_datagrams_unsent_total", member.unsent.get());
+        let majority = u64::from(view.majority != Some(false));
+        for (name, help, value) in [
+            ("present", "Members present, this one included", view.present.into()),
+            ("expected", "Members that there should be", view.expected.unwrap_or(0).into()),
+            ("majority", "Whether those present are a majority of them", majority),
+            ("missing", "Members that went without a word", view.missing.len() as u64),
+            ("health", "0 while this process keeps time", view.health.into()),
+            ("incarnation", "Its incarnation", view.incarnation.into()),
+        ] {
+            gauge(into, &format!("members_{name}"), help, value as i64);
+        }
+        for (name, help, value) in [
+            ("suspicions", "Members suspected", counts.suspicions),
+            ("suspicions_cleared", "Suspicions that came to nothing", counts.cleared),
+            ("refutations", "Suspicions of itself that it refuted", counts.refutations),
+            ("datagrams_sent", "Datagrams sent", counts.sent),
+            ("bytes_sent", "Their bytes", counts.sent_bytes),
+            ("datagrams_received", "Datagrams received", counts.received),
+            ("bytes_received", "Their bytes", counts.received_bytes),
+            ("datagrams_unsent", "Datagrams that the socket did not take", member.unsent.get()),
+        ] {
+            count(into, &format!("members_{name}"), help, value);
+        }
+        let dropped = Family::<Dropped, Counter>::default();
         for (why, reason) in DROPPED {
-            let dropped = counts.dropped[why as usize];
-            line(&format!("members_datagrams_dropped_total{{reason=\"{reason}\"}}"), dropped);
+            dropped.get_or_create(&Dropped { reason }).inc_by(counts.dropped[why as usize]);
         }
+        into.register("members_datagrams_dropped", "Datagrams dropped, by reason", dropped);
     }
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Dropped {
+    reason: &'static str,
+}
+
 fn bind(at: SocketAddrV4) -> io::Result<UdpSocket> {
     let socket = std::net::UdpSocket::bind(at)?;
     socket.set_nonblocking(true)?;
--- a/src/bin/heronstage/config/mod.rs
+++ b/src/bin/heronstage/config/mod.rs
@@ -8,6 +8,7 @@
 mod units;
 
 pub use check::Fault;
+pub use form::{Customers, Format, Level, Logs};
 pub use guide::{example, keys, schema};
 pub use source::{Shown, Source};
 
@@ -67,6 +68,7 @@
     pub peer_intake: f64,
     /// The cluster that this gateway is a member of, if it is one.
     pub cluster: Option<Cluster>,
+    pub logs: Logs,
 }
 
 /// The gateway as a member of a cluster.
@@ -137,7 +139,22 @@
 
 /// Keys that hold only after a restart, in the form for people and in the platform's.
 const RESTART: [(&[&str], bool); 2] = [
-    (&["name", "seed", "zone", "zones", "kinds", "listeners", "limits", "peers", "logs.format"], true),
+    (
+        &[
+            "name",
+            "seed",
+            "zone",
+            "zones",
+            "kinds",
+            "listeners",
+            "limits",
+            "peers",
+            "logs.format",
+            "logs.times",
+            "logs.customers",
+        ],
+        true,
+    ),
     (
         &[
             "listen",
@@ -192,6 +209,7 @@
             connect_ms: form.servers.connect_timeout.0,
             idle_ms: form.servers.idle_timeout.0,
             cluster,
+            logs: form.logs,
         })
     }
 
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -10,8 +10,8 @@
 use crate::room::{Budget, Content, More, Part, Short, StreamTo, Upload};
 use bytes::Bytes;
 use cherrytally::{
-    Action, BackendId, Event, Gateway, Listed, Load, Outcome, Request, RequestId, Result as Ended, Settings,
-    State,
+    Action, BackendId, Event, Gateway, Listed, Load, Outcome, Reason, Request, RequestId, Result as Ended,
+    Settings, State,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::DefaultHasher;
@@ -56,12 +56,24 @@
     },
     Refused {
         retry_after_ms: f64,
+        reason: Reason,
     },
     Failed,
     /// The client did not send the whole body.
     Short(Short),
 }
 
+/// What was done for a request until its final answer.
+#[derive(Clone, Copy, Default)]
+pub struct Course {
+    /// When the first attempt was sent.
+    pub sent: Option<Instant>,
+    /// Attempts so far.
+    pub attempts: usize,
+    /// Where the last one went.
+    pub server: Option<BackendId>,
+}
+
 /// What goes on to a backend, with the remaining time to be put between the two parts.
 pub struct Work {
     pub head: Vec<u8>,
@@ -83,6 +95,9 @@
     }
 }
 
+/// Where a request's final answer comes.
+pub type Awaited = oneshot::Receiver<(Answer, Course)>;
+
 /// What the module is told of a request.
 pub struct Asked {
     pub customer: u64,
@@ -169,7 +184,8 @@
 
 struct Open {
     /// Taken when the final answer is given, or when the client has gone.
-    answer: Option<oneshot::Sender<Answer>>,
+    answer: Option<oneshot::Sender<(Answer, Course)>>,
+    course: Course,
     work: Rc<Work>,
     /// When its time is up; none while its body streams.
     ends: Option<Instant>,
@@ -186,7 +202,7 @@
     fn give(&mut self, answer: Answer) {
         if let Some(to) = self.answer.take() {
             // A client that has just gone needs no answer.
-            let _ = to.send(answer);
+            let _ = to.send((answer, self.course));
         }
     }
 }
@@ -269,7 +285,7 @@
     // ---- What happens -------------------------------------------------------------------------------------
 
     /// A request came in. Its answer comes by the receiver.
-    pub fn request(self: &Rc<Self>, asked: &Asked, work: Work) -> (RequestId, oneshot::Receiver<Answer>) {
+    pub fn request(self: &Rc<Self>, asked: &Asked, work: Work) -> (RequestId, Awaited) {
         let (answer, receiver) = oneshot::channel();
         let passed = asked.at.elapsed().as_secs_f64() * 1000.0;
         let budget_ms = (asked.remaining_ms - passed - MARGIN_MS).max(0.0);
@@ -278,7 +294,8 @@
         let inner = &mut *self.inner.borrow_mut();
         let id = inner.next;
         inner.next += 1;
-        let open = Open { answer: Some(answer), work: Rc::new(work), ends, budget, attempts: Vec::new() };
+        let (course, attempts) = Default::default();
+        let open = Open { answer: Some(answer), course, work: Rc::new(work), ends, budget, attempts };
         inner.open.insert(id, open);
         let request = Request {
             id,
@@ -296,16 +313,16 @@
     }
 
     /// Waits for the final answer. The module ends a request in time; this guards against one that it would not.
-    pub async fn answer(self: &Rc<Self>, id: RequestId, mut answer: oneshot::Receiver<Answer>) -> Answer {
+    pub async fn answer(self: &Rc<Self>, id: RequestId, mut answer: Awaited) -> (Answer, Course) {
         loop {
             let ends = self.inner.borrow().open.get(&id).and_then(|open| open.ends);
             let by = ends.map_or_else(|| Instant::now() + LOOK, |ends| ends + Duration::from_millis(5));
             match timeout_at(by, &mut answer).await {
-                Ok(answer) => return answer.unwrap_or(Answer::Failed),
+                Ok(answer) => return answer.unwrap_or((Answer::Failed, Course::default())),
                 Err(_) if ends.is_none() => {}
                 Err(_) => {
                     self.leave(id);
-                    return Answer::Failed;
+                    return answer.try_recv().unwrap_or((Answer::Failed, Course::default()));
                 }
             }
         }
@@ -363,6 +380,7 @@
         self: &Rc<Self>, id: RequestId, attempt: usize, backend: BackendId, took_ms: f64, result: Ended,
         answer: Option<Answered>,
     ) {
+        self.figures.attempted(result);
         let inner = &mut *self.inner.borrow_mut();
         let Some(open) = inner.open.get_mut(&id) else { return };
         open.attempts[attempt] = None;
@@ -397,6 +415,7 @@
     /// A call to the counter has ended.
     pub fn counted(self: &Rc<Self>, counted: Counted) {
         let Counted { name, result, total, took_ms } = counted;
+        self.figures.called(result);
         self.handle(&mut self.inner.borrow_mut(), Event::Counted { name, result, total, took_ms });
     }
 
@@ -469,6 +488,13 @@
         told && self.inner.borrow().fleet.values().any(|known| known.state == State::Ready)
     }
 
+    /// The name of a backend, as the list gives it. It is looked for: only the log asks.
+    pub fn name(&self, backend: BackendId) -> String {
+        let inner = self.inner.borrow();
+        let name = inner.numbers.iter().find(|(_, number)| **number == backend).map(|(name, _)| name.clone());
+        name.unwrap_or_default()
+    }
+
     /// How many backends the list holds, and how many of them are kept from requests.
     pub fn listed(&self) -> (usize, usize) {
         let inner = self.inner.borrow();
@@ -530,7 +556,10 @@
                     }
                 }
             }
-            Action::Refuse { id, retry_after_ms, .. } => give(inner, id, Answer::Refused { retry_after_ms }),
+            Action::Refuse { id, retry_after_ms, reason } => {
+                self.figures.refused(reason);
+                give(inner, id, Answer::Refused { retry_after_ms, reason });
+            }
             Action::Fail { id } => give(inner, id, Answer::Failed),
             Action::Timer { token, after_ms } => {
                 let driver = self.clone();
@@ -579,6 +608,8 @@
         };
         let (cancel, mut cancelled) = oneshot::channel();
         open.attempts.push(Some(cancel));
+        let sent = open.course.sent.or(Some(now));
+        open.course = Course { sent, attempts: number + 1, server: Some(backend) };
         let since = Cell::new(now);
         let sending = Sending { driver: self.clone(), id, number, work: open.work.clone(), timeout, since };
         let addr = known.addr;
--- a/src/bin/heronstage/figures.rs
+++ b/src/bin/heronstage/figures.rs
@@ -1,52 +1,267 @@
 //! Figures for operators. They are only counted here; nothing is decided by them.
 
-use crate::status;
-use std::cell::{Cell, RefCell};
+use crate::status::{self, Process};
+use cherrytally::{Reason, Result as Ended};
+use prometheus_client::encoding::text::{encode_eof, encode_registry};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::fmt::{Display, Write};
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
 
 /// Names of classes at most that are counted in a process's life.
 const CLASSES_MOST: usize = 256;
+/// Where times are told apart, in seconds: from what a refusal takes to the longest deadlines.
+const BUCKETS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0];
 
 /// How a request ended.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
     Fulfilled,
     Throttled,
     Faulted,
+    /// Its client went, or did not send it whole. It counts among no operations.
+    Gone,
+}
+
+impl End {
+    pub fn name(self) -> &'static str {
+        match self {
+            End::Fulfilled => "fulfilled",
+            End::Throttled => "throttled",
+            End::Faulted => "faulted",
+            End::Gone => "gone",
+        }
+    }
+}
+
+const ENDS: [End; 4] = [End::Fulfilled, End::Throttled, End::Faulted, End::Gone];
+
+/// Where a request's time goes.
+#[derive(Clone, Copy)]
+pub enum Place {
+    /// The client sends the body. Requests without one spend nothing here, nor in the next place.
+    Body,
+    /// The body waits for room in memory.
+    Room,
+    /// The decision: the counter is asked, and a server chosen.
+    Decision,
+    /// From the first attempt to the answer's first byte, all attempts and the waits between them.
+    Servers,
 }
 
-const ENDS: [(End, &str); 3] =
-    [(End::Fulfilled, "fulfilled"), (End::Throttled, "throttled"), (End::Faulted, "faulted")];
+const PLACES: [(Place, &str); 4] = [
+    (Place::Body, "body"),
+    (Place::Room, "room"),
+    (Place::Decision, "decision"),
+    (Place::Servers, "servers"),
+];
 
-/// How many requests of one class ended in which way.
-#[derive(Default)]
-pub struct Ends([Cell<u64>; ENDS.len()]);
+pub const REASONS: [(Reason, &str); 4] =
+    [(Reason::Room, "room"), (Reason::Quota, "quota"), (Reason::Unsent, "unsent"), (Reason::Time, "time")];
+
+/// The name of an attempt's result.
+fn result(ended: Ended) -> &'static str {
+    match ended {
+        Ended::Ok => "ok",
+        Ended::Error => "error",
+        Ended::Full => "full",
+        Ended::Timeout => "timeout",
+        Ended::ConnectFailed => "connect_failed",
+        Ended::Reset => "reset",
+        Ended::Cancelled => "cancelled",
+        Ended::Moot => "moot",
+    }
+}
+
+const RESULTS: [Ended; 8] = [
+    Ended::Ok,
+    Ended::Error,
+    Ended::Full,
+    Ended::Timeout,
+    Ended::ConnectFailed,
+    Ended::Reset,
+    Ended::Cancelled,
+    Ended::Moot,
+];
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Operation {
+    priority: String,
+    status: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ByOutcome {
+    class: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ByClass {
+    class: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ByPlace {
+    place: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ByReason {
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ByResult {
+    result: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ByStatus {
+    status: u16,
+}
+
+/// How many requests of one class ended in which way, and after what time.
+pub struct Ends {
+    /// What ended with its client gone counts in no operation.
+    counts: [Counter; 3],
+    times: [Histogram; ENDS.len()],
+    first_byte: Histogram,
+}
 
 impl Ends {
     /// Counts one.
-    pub fn count(&self, end: End) {
-        more(&self.0[end as usize]);
+    pub fn count(&self, end: End, took: Duration) {
+        if let Some(count) = self.counts.get(end as usize) {
+            count.inc();
+        }
+        self.times[end as usize].observe(took.as_secs_f64());
+    }
+
+    /// The first byte of an answer from a server is there.
+    pub fn first_byte(&self, took: Duration) {
+        self.first_byte.observe(took.as_secs_f64());
     }
 }
 
 /// What is counted from the start of the process.
-#[derive(Default)]
 pub struct Figures {
+    /// Those that the operators' page fixes.
+    fixed: Registry,
+    /// All others that are counted.
+    more: Registry,
     classes: RefCell<BTreeMap<String, Rc<Ends>>>,
-    relayed: Cell<u64>,
-    accepted: Cell<u64>,
-    invalid: Cell<u64>,
+    operations: Family<Operation, Counter>,
+    times: Family<ByOutcome, Histogram>,
+    first_byte: Family<ByClass, Histogram>,
+    places: [Histogram; PLACES.len()],
+    refusals: [Counter; REASONS.len()],
+    attempts: [Counter; RESULTS.len()],
+    calls: [Counter; RESULTS.len()],
+    malformed: Family<ByStatus, Counter>,
+    relayed: Counter,
+    accepted: Counter,
+    invalid: Counter,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(BUCKETS)
+}
+
+impl Default for Figures {
+    fn default() -> Self {
+        let mut fixed = Registry::with_prefix("relay");
+        let operations = Family::default();
+        fixed.register("operations", "Requests by class and end", operations.clone());
+        let (relayed, accepted, invalid) = <(Counter, Counter, Counter)>::default();
+        fixed.register("relayed", "Attempts written whole to servers", relayed.clone());
+        fixed.register("cfg_accepted", "Configurations taken at a reload", accepted.clone());
+        fixed.register("cfg_invalid", "Configurations turned down at a reload", invalid.clone());
+
+        let mut more = Registry::with_prefix("heronstage");
+        let seconds = || Unit::Seconds;
+        let times = Family::new_with_constructor(histogram as fn() -> _);
+        more.register_with_unit(
+            "request_duration",
+            "From a request's head to its end",
+            seconds(),
+            times.clone(),
+        );
+        let first_byte = Family::new_with_constructor(histogram as fn() -> _);
+        let help = "From a request's last byte to the first of its answer from a server";
+        more.register_with_unit("first_byte", help, seconds(), first_byte.clone());
+        let places = Family::<ByPlace, Histogram, _>::new_with_constructor(histogram as fn() -> _);
+        more.register_with_unit("request_wait", "Time of requests by place", seconds(), places.clone());
+        let refusals = Family::<ByReason, Counter>::default();
+        more.register("refusals", "Requests refused, by reason", refusals.clone());
+        let attempts = Family::<ByResult, Counter>::default();
+        more.register("attempts", "Attempts at servers, by result", attempts.clone());
+        let calls = Family::<ByResult, Counter>::default();
+        more.register("counter_calls", "Calls to the counter, by result", calls.clone());
+        let malformed = Family::default();
+        more.register("malformed", "Requests that were the client's fault, by status", malformed.clone());
+
+        let by_result = |family: &Family<ByResult, Counter>| {
+            RESULTS.map(|ended| family.get_or_create_owned(&ByResult { result: result(ended) }))
+        };
+        Figures {
+            classes: RefCell::default(),
+            places: PLACES.map(|(_, place)| places.get_or_create_owned(&ByPlace { place })),
+            refusals: REASONS.map(|(_, reason)| refusals.get_or_create_owned(&ByReason { reason })),
+            attempts: by_result(&attempts),
+            calls: by_result(&calls),
+            fixed,
+            more,
+            operations,
+            times,
+            first_byte,
+            malformed,
+            relayed,
+            accepted,
+            invalid,
+        }
+    }
 }
 
 /// What stands so now.
 pub struct Present {
     pub open: usize,
+    pub connections: usize,
     pub listed: usize,
     pub avoided: usize,
 }
 
+impl Present {
+    /// Puts those in that the operators' page fixes.
+    fn fixed(&self, into: &mut Registry) {
+        gauge(into, "open_requests", "Requests taken and not yet ended", self.open as i64);
+        gauge(into, "registry_entries", "Servers on the list", self.listed as i64);
+        gauge(into, "out_of_rotation", "Servers of the list that get no requests now", self.avoided as i64);
+    }
+}
+
+/// Puts a gauge as it stands now into what is told.
+pub fn gauge(into: &mut Registry, name: &str, help: &str, value: i64) {
+    let gauge = Gauge::<i64>::default();
+    gauge.set(value);
+    into.register(name, help, gauge);
+}
+
+/// Puts a count as it stands now into what is told.
+pub fn count(into: &mut Registry, name: &str, help: &str, value: u64) {
+    let counter = Counter::<u64>::default();
+    counter.inc_by(value);
+    into.register(name, help, counter);
+}
+
 impl Figures {
     /// Where ends of requests of a class are counted; one that comes again goes on from where it was.
     pub fn class(&self, name: &str) -> Result<Rc<Ends>, String> {
@@ -57,27 +272,58 @@
         if classes.len() >= CLASSES_MOST {
             return Err(format!("over {CLASSES_MOST} names of classes since the start"));
         }
-        Ok(classes.entry(name.to_owned()).or_default().clone())
+        let (class, counted) = (name.to_owned(), [End::Fulfilled, End::Throttled, End::Faulted]);
+        let count = |end: End| Operation { priority: class.clone(), status: end.name() };
+        let time = |end: End| ByOutcome { class: class.clone(), outcome: end.name() };
+        let ends = Rc::new(Ends {
+            counts: counted.map(|end| self.operations.get_or_create_owned(&count(end))),
+            times: ENDS.map(|end| self.times.get_or_create_owned(&time(end))),
+            first_byte: self.first_byte.get_or_create_owned(&ByClass { class: class.clone() }),
+        });
+        classes.insert(class, ends.clone());
+        Ok(ends)
     }
 
     /// An attempt was written whole to its backend.
     pub fn relayed(&self) {
-        more(&self.relayed);
+        self.relayed.inc();
+    }
+
+    /// An attempt has ended.
+    pub fn attempted(&self, ended: Ended) {
+        self.attempts[ended as usize].inc();
+    }
+
+    /// A call to the counter has ended.
+    pub fn called(&self, ended: Ended) {
+        self.calls[ended as usize].inc();
+    }
+
+    /// A request was refused.
+    pub fn refused(&self, reason: Reason) {
+        self.refusals[reason as usize].inc();
+    }
+
+    /// A request was the client's fault.
+    pub fn malformed(&self, status: u16) {
+        self.malformed.get_or_create(&ByStatus { status }).inc();
+    }
+
+    /// A request spent time in a place.
+    pub fn waited(&self, place: Place, took: Duration) {
+        self.places[place as usize].observe(took.as_secs_f64());
     }
 
     /// A configuration was read at SIGHUP, and taken or not.
     pub fn configured(&self, taken: bool) {
-        more(if taken { &self.accepted } else { &self.invalid });
+        if taken { &self.accepted } else { &self.invalid }.inc();
     }
 
     /// How requests of each class ended.
     pub fn classes(&self) -> Vec<status::Class> {
-        let count = |ends: &Ends, end: End| ends.0[end as usize].get();
-        let class = |(name, ends): (&String, &Rc<Ends>)| status::Class {
-            name: name.clone(),
-            fulfilled: count(ends, End::Fulfilled),
-            throttled: count(ends, End::Throttled),
-            faulted: count(ends, End::Faulted),
+        let class = |(name, ends): (&String, &Rc<Ends>)| {
+            let [fulfilled, throttled, faulted] = ends.counts.each_ref().map(Counter::get);
+            status::Class { name: name.clone(), fulfilled, throttled, faulted }
         };
         self.classes.borrow().iter().map(class).collect()
     }
@@ -87,30 +333,54 @@
         self.relayed.get()
     }
 
-    /// The figures as text, a line each.
-    pub fn text(&self, present: &Present) -> String {
-        let mut text = String::with_capacity(1024);
-        let mut line = |name: &str, value: &dyn Display| {
-            // A String takes every write.
-            let _ = writeln!(text, "relay_{name} {value}");
-        };
-        for (class, ends) in self.classes.borrow().iter() {
-            let class = class.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
-            for (end, status) in ENDS {
-                let name = format!("operations_total{{priority=\"{class}\",status=\"{status}\"}}");
-                line(&name, &ends.0[end as usize].get());
-            }
+    /// Refusals by reason.
+    pub fn refusals(&self) -> BTreeMap<String, u64> {
+        REASONS
+            .iter()
+            .map(|(reason, name)| ((*name).to_owned(), self.refusals[*reason as usize].get()))
+            .collect()
+    }
+
+    /// The figures that the operators' page fixes, a line each, with what others put in.
+    pub fn stats(&self, present: &Present, others: impl FnOnce(&mut Registry)) -> String {
+        let mut now = Registry::with_prefix("relay");
+        present.fixed(&mut now);
+        others(&mut now);
+        let mut text = String::with_capacity(4096);
+        // A String takes every write.
+        let _ = encode_registry(&mut text, &self.fixed).and_then(|()| encode_registry(&mut text, &now));
+        let mut lines = String::with_capacity(text.len());
+        for line in text.lines().filter(|line| !line.starts_with('#')) {
+            lines.push_str(line);
+            lines.push('\n');
         }
-        line("relayed_total", &self.relayed.get());
-        line("open_requests", &present.open);
-        line("registry_entries", &present.listed);
-        line("out_of_rotation", &present.avoided);
-        line("cfg_accepted_total", &self.accepted.get());
-        line("cfg_invalid_total", &self.invalid.get());
-        text
+        lines
     }
-}
 
-fn more(count: &Cell<u64>) {
-    count.set(count.get() + 1);
+    /// All figures as OpenMetrics.
+    pub fn open_metrics(
+        &self, present: &Present, process: &Process, lost: u64, others: impl FnOnce(&mut Registry),
+    ) -> String {
+        let mut relay = Registry::with_prefix("relay");
+        present.fixed(&mut relay);
+        others(&mut relay);
+        let mut own = Registry::with_prefix("heronstage");
+        gauge(&mut own, "connections", "Connections of clients", present.connections as i64);
+        count(&mut own, "log_lines_dropped", "Lines of the log that nobody read in time", lost);
+        let mut machine = Registry::with_prefix("process");
+        let resident = process.resident_bytes as i64;
+        gauge(&mut machine, "resident_memory_bytes", "Resident memory", resident);
+        gauge(&mut machine, "open_fds", "Open descriptors", process.descriptors as i64);
+        gauge(&mut machine, "max_fds", "Descriptors that may be open", process.descriptors_most as i64);
+        let cpu = Counter::<f64, AtomicU64>::default();
+        cpu.inc_by(process.cpu_s);
+        machine.register("cpu_seconds", "Processor time", cpu);
+        let mut text = String::with_capacity(32 * 1024);
+        let written = [&self.fixed, &relay, &self.more, &own, &machine]
+            .into_iter()
+            .try_for_each(|registry| encode_registry(&mut text, registry));
+        // A String takes every write.
+        let _ = written.and_then(|()| encode_eof(&mut text));
+        text
+    }
 }
--- a/src/bin/heronstage/gateway.rs
+++ b/src/bin/heronstage/gateway.rs
@@ -3,11 +3,12 @@
 use crate::backends::Backends;
 use crate::beside::Beside;
 use crate::cluster::Cluster;
-use crate::config::{Changes, Config, Places, Source};
+use crate::config::{Changes, Config, Logs, Places, Source};
 use crate::counter;
 use crate::discovery;
 use crate::driver::{Driver, Names, Reach};
 use crate::figures::Figures;
+use crate::logs::{self, Log};
 use crate::operator::{self, Desk};
 use crate::peers;
 use crate::room::Budget;
@@ -45,16 +46,16 @@
 
 /// Runs one gateway until it is told to end. An error is one line that says why it did not start.
 pub fn serve(source: Source) -> Result<(), String> {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).without_time().init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
     let config = source.load()?;
+    let log = Rc::new(Log::start(&config.logs)?);
     let inherited = inherited().map_err(|e| format!("RELAY_LISTEN_FD: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, run(source, config, inherited))
+    tokio::task::LocalSet::new().block_on(&runtime, run(source, config, inherited, log))
 }
 
 async fn run(
-    source: Source, mut config: Config, inherited: Option<std::net::TcpListener>,
+    source: Source, mut config: Config, inherited: Option<std::net::TcpListener>, log: Rc<Log>,
 ) -> Result<(), String> {
     let started = Instant::now();
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
@@ -125,13 +126,25 @@
         let beside = Beside::new(folder.into(), seed, sockets, reserved, free, later.clone(), driver.clone());
         tokio::task::spawn_local(beside.run());
     }
-    let server = Server::new(driver.clone(), tables, figures.clone(), budget, free.clone());
+    let server = {
+        let names = logs::Names::new(config.logs.customers);
+        Server::new(driver.clone(), tables, figures.clone(), names, budget, free.clone())
+    };
     let cluster = Cluster::new(driver.clone(), config.seed, shared, server.drains());
     let joins = cluster.prepare(config.cluster.clone())?;
     let (name, descriptors) = (config.name.clone(), config.sockets);
-    let reloads = Reloads { source, config: config.into(), moves, figures };
-    let desk = Desk { server: server.clone(), cluster: cluster.clone(), reloads, name, started, descriptors };
-    let desk = Rc::new(desk);
+    let reloads = Reloads { source, config: config.into(), moves, figures: figures.clone() };
+    let (server_too, cluster_too) = (server.clone(), cluster.clone());
+    let desk = Rc::new(Desk {
+        server: server_too,
+        cluster: cluster_too,
+        figures,
+        log,
+        reloads,
+        name,
+        started,
+        descriptors,
+    });
     tokio::task::spawn_local(on_hangup(hangup, desk.clone()));
     tracing::info!("listening on {}", listener.local_addr().map_err(|e| e.to_string())?);
     cluster.apply(joins);
@@ -199,6 +212,11 @@
 }
 
 impl Reloads {
+    /// What the configuration says of the log.
+    pub fn logs(&self) -> Logs {
+        self.config.borrow().logs.clone()
+    }
+
     /// Takes what is to be read now, whole or not at all; tells which keys changed.
     pub fn reload(&self, server: &Server, cluster: &Rc<Cluster>) -> Result<Changes, String> {
         let taken = self.take(server, cluster);
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -12,6 +12,7 @@
 mod gateway;
 mod http;
 mod idle;
+mod logs;
 mod operator;
 mod peers;
 mod remote;
@@ -20,6 +21,7 @@
 mod server;
 mod status;
 mod tables;
+mod top;
 
 use clap::{CommandFactory, Parser};
 use cli::{Cli, Command, Exit};
@@ -39,6 +41,8 @@
         Some(Command::Members(args)) => wait(remote::members(args)),
         Some(Command::Drain(args)) => wait(remote::drain(args)),
         Some(Command::Resume(args)) => wait(remote::resume(args)),
+        Some(Command::Log { levels, call }) => wait(remote::log(call, &levels)),
+        Some(Command::Top { call, every, looks }) => wait(top::run(call, every, looks)),
         Some(Command::Completions { shell }) => {
             let mut text = Vec::new();
             clap_complete::generate(shell, &mut Cli::command(), "heronstage", &mut text);
--- a/src/bin/heronstage/operator.rs
+++ b/src/bin/heronstage/operator.rs
@@ -2,7 +2,9 @@
 
 use crate::cluster::Cluster;
 use crate::config::Changes;
+use crate::figures::Figures;
 use crate::gateway::Reloads;
+use crate::logs::{self, Log};
 use crate::seldom::Seldom;
 use crate::server::Server;
 use crate::status::{Phase, Process, Servers, Status};
@@ -22,6 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout, Instant};
+use tracing_subscriber::filter::Targets;
 
 /// Callers at once. Their descriptors are kept for them, so that busy clients can't take them.
 pub const PLACES: usize = 16;
@@ -30,11 +33,16 @@
 /// And one that does not take its answer is left.
 const CALL_TIME: Duration = Duration::from_secs(2);
 
+/// The form of /metrics.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// What operators are told of, and may change.
 pub struct Desk {
     pub reloads: Reloads,
     pub server: Rc<Server>,
     pub cluster: Rc<Cluster>,
+    pub figures: Rc<Figures>,
+    pub log: Rc<Log>,
     /// The gateway's name; empty where its configuration gives none.
     pub name: String,
     pub started: Instant,
@@ -45,7 +53,11 @@
 impl Desk {
     /// Reads the configuration anew.
     pub fn reload(&self) -> Result<Changes, String> {
-        self.reloads.reload(&self.server, &self.cluster)
+        let changes = self.reloads.reload(&self.server, &self.cluster)?;
+        if changes.keys.iter().any(|key| key.starts_with("logs")) {
+            self.log.set(logs::targets(&self.reloads.logs()));
+        }
+        Ok(changes)
     }
 
     fn status(&self) -> Status {
@@ -59,6 +71,7 @@
             open_requests: 0,
             relayed: 0,
             classes: Vec::new(),
+            refusals: Default::default(),
             servers: Servers { listed: 0, avoided: 0 },
             members: self.cluster.members(),
             process: Process::now(self.descriptors),
@@ -106,8 +119,8 @@
 fn answer(request: &Request<Incoming>, desk: &Desk) -> Response<Full<Bytes>> {
     let (server, cluster) = (&desk.server, &desk.cluster);
     let allowed = match request.uri().path() {
-        "/admin/health" | "/admin/stats" | "/admin/status" | "/admin/members" => Method::GET,
-        "/admin/quiesce" | "/admin/resume" | "/admin/reload" => Method::POST,
+        "/admin/health" | "/metrics" | "/admin/stats" | "/admin/status" | "/admin/members" => Method::GET,
+        "/admin/quiesce" | "/admin/resume" | "/admin/reload" | "/admin/log" => Method::POST,
         _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
     };
     if *request.method() != allowed {
@@ -123,10 +136,22 @@
         "/admin/resume" if server.resume() => text(StatusCode::OK, "taking clients\n"),
         "/admin/resume" => text(StatusCode::CONFLICT, "ending after SIGTERM\n"),
         "/admin/stats" => {
-            let mut stats = server.stats();
-            cluster.stats(&mut stats);
-            text(StatusCode::OK, stats)
+            text(StatusCode::OK, desk.figures.stats(&server.present(), |now| cluster.figures(now)))
+        }
+        "/metrics" => {
+            let (present, process) = (server.present(), Process::now(desk.descriptors));
+            let lost = desk.log.lost();
+            let told = desk.figures.open_metrics(&present, &process, lost, |now| cluster.figures(now));
+            body(StatusCode::OK, told, OPEN_METRICS)
         }
+        "/admin/log" => match request.uri().query().unwrap_or("").parse::<Targets>() {
+            Ok(levels) => {
+                tracing::info!("levels of the log: {levels}");
+                desk.log.set(levels);
+                text(StatusCode::OK, "other levels\n")
+            }
+            Err(e) => text(StatusCode::CONFLICT, format!("levels: {e}\n")),
+        },
         "/admin/reload" => match desk.reload() {
             Ok(changes) => json(&changes),
             Err(why) => text(StatusCode::CONFLICT, format!("{why}\n")),
--- a/src/bin/heronstage/remote.rs
+++ b/src/bin/heronstage/remote.rs
@@ -16,6 +16,7 @@
 use tabwriter::TabWriter;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
+use tracing_subscriber::filter::Targets;
 
 /// A gateway that is there answers within a second, however busy it is.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -50,7 +51,7 @@
     }
 }
 
-type Outcome = Result<Exit, Failure>;
+pub type Outcome = Result<Exit, Failure>;
 
 struct Reply {
     status: StatusCode,
@@ -100,23 +101,27 @@
 }
 
 /// What the gateway says of itself, as it came and as it is read.
-async fn look(at: SocketAddr) -> Result<(Bytes, Status), Failure> {
+pub async fn look(at: SocketAddr) -> Result<(Bytes, Status), Failure> {
     let reply = ask(at, Method::GET, "/admin/status").await?;
     let status = serde_json::from_slice(&reply.body).map_err(|e| Failure::odd(at, e))?;
     Ok((reply.body, status))
 }
 
-fn print(text: impl AsRef<[u8]>) -> Result<(), Failure> {
+pub fn print(text: impl AsRef<[u8]>) -> Result<(), Failure> {
     let mut out = io::stdout().lock();
     out.write_all(text.as_ref())?;
     Ok(out.flush()?)
 }
 
-/// Prints rows of cells that are parted by tabs.
-fn table(rows: &str) -> Result<(), Failure> {
+/// Rows of cells that are parted by tabs, in columns.
+pub fn columns(rows: &str) -> Result<Vec<u8>, Failure> {
     let mut writer = TabWriter::new(Vec::new()).padding(2);
     writer.write_all(rows.as_bytes())?;
-    print(writer.into_inner().map_err(|e| io::Error::other(e.to_string()))?)
+    Ok(writer.into_inner().map_err(|e| io::Error::other(e.to_string()))?)
+}
+
+fn table(rows: &str) -> Result<(), Failure> {
+    print(columns(rows)?)
 }
 
 /// `status`
@@ -130,7 +135,7 @@
     Ok(Exit::Done)
 }
 
-fn rows(s: &Status) -> String {
+pub fn rows(s: &Status) -> String {
     let mut rows = String::new();
     let mut row = |name: &str, value: &dyn std::fmt::Display| {
         // A String takes every write.
@@ -152,6 +157,9 @@
     row("memory", &format!("{:.1} MiB", s.process.resident_bytes as f64 / f64::from(1 << 20)));
     row("descriptors", &format!("{} of {}", s.process.descriptors, s.process.descriptors_most));
     row("processor", &format!("{:.2} s", s.process.cpu_s));
+    let refusals = s.refusals.iter().filter(|(_, count)| **count > 0);
+    let refusals: Vec<_> = refusals.map(|(reason, count)| format!("{count} {reason}")).collect();
+    row("refused", &if refusals.is_empty() { "none".to_owned() } else { refusals.join(", ") });
     let _ = writeln!(rows, "\nclass\tserved\trefused\tfailed");
     for class in &s.classes {
         let _ = writeln!(rows, "{}\t{}\t{}\t{}", class.name, class.fulfilled, class.throttled, class.faulted);
@@ -159,7 +167,7 @@
     rows
 }
 
-fn phase(phase: Phase) -> &'static str {
+pub fn phase(phase: Phase) -> &'static str {
     match phase {
         Phase::Ready => "ready",
         Phase::Unready => "not ready",
@@ -225,6 +233,13 @@
     Ok(Exit::Done)
 }
 
+/// `log`
+pub async fn log(args: Call, levels: &Targets) -> Outcome {
+    // What was parsed has no character that a query can't hold.
+    ask(args.operators, Method::POST, &format!("/admin/log?{levels}")).await?;
+    told(&args, "logging", "other levels")
+}
+
 /// `resume`
 pub async fn resume(args: Call) -> Outcome {
     ask(args.operators, Method::POST, "/admin/resume").await?;
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -1,8 +1,9 @@
 //! Clients: takes in their requests by HTTP/1.1 and writes the answers.
 
 use crate::config::Config;
-use crate::driver::{Answer, Asked, Driver, Work};
-use crate::figures::{End, Figures, Present};
+use crate::driver::{Answer, Asked, Awaited, Course, Driver, Work};
+use crate::figures::{End, Figures, Place, Present, REASONS};
+use crate::logs::{Names, REQUEST};
 use crate::room::{Budget, Content, More, Part, Short, Upload, BODY_MOST, HELD_MOST};
 use crate::seldom::Seldom;
 use crate::status::{Phase, Servers, Status};
@@ -25,6 +26,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tracing::{Level, Span};
 
 /// A client that has not sent a whole head by then loses its connection, idle or not. Anyone may connect and
 /// say nothing, and is owed a close within 3 s; a client's idle connection may be closed after 2 s.
@@ -49,6 +51,8 @@
     driver: Rc<Driver>,
     tables: RefCell<Tables>,
     figures: Rc<Figures>,
+    /// How customers are named in the log.
+    names: Names,
     /// Requests taken in and not yet ended.
     open: Cell<usize>,
     budget: Rc<Budget>,
@@ -117,7 +121,7 @@
             Some(Err(_)) => Some(End::Faulted),
         };
         if let Some((end, mut ticket)) = last.and_then(|end| Some((end, self.ticket.take()?))) {
-            ticket.end(Some(end));
+            ticket.end(end);
         }
         Poll::Ready(frame)
     }
@@ -168,16 +172,31 @@
     }
 }
 
+/// A request's line in the log, where such lines are written.
+struct Line {
+    span: Span,
+    body: Duration,
+    room: Duration,
+    /// When its last byte came.
+    whole: Instant,
+    course: Course,
+    first_byte: Option<Duration>,
+    reason: Option<&'static str>,
+}
+
 /// Counts a request as long as its answer is not given; tells the driver if the client goes first.
 struct Ticket {
     server: Rc<Server>,
+    /// When its head was read.
+    began: Instant,
     open: Option<(RequestId, Rc<Class>)>,
+    line: Option<Box<Line>>,
 }
 
 impl Ticket {
     fn new(server: &Rc<Server>) -> Self {
         server.busy.set(server.busy.get() + 1);
-        Ticket { server: server.clone(), open: None }
+        Ticket { server: server.clone(), began: Instant::now(), open: None, line: None }
     }
 
     fn open(&mut self, id: RequestId, class: Rc<Class>) {
@@ -185,31 +204,90 @@
         self.open = Some((id, class));
     }
 
-    /// The request has its final answer, or its client has gone: that counts nowhere.
-    fn end(&mut self, end: Option<End>) {
+    /// The request has its final answer, or its client has gone.
+    fn end(&mut self, end: End) {
+        if self.open.is_some() {
+            self.end_at(end, Instant::now());
+        }
+    }
+
+    fn end_at(&mut self, end: End, now: Instant) {
         let Some((id, class)) = self.open.take() else { return };
         self.server.open.set(self.server.open.get() - 1);
-        match end {
-            Some(end) => class.ends.count(end),
-            None => self.server.driver.leave(id),
+        let took = now.duration_since(self.began);
+        class.ends.count(end, took);
+        if end == End::Gone {
+            self.server.driver.leave(id);
+        }
+        if let Some(line) = self.line.take() {
+            line.write(end, took, &self.server.driver);
         }
     }
+
+    /// The module has ended the request, now.
+    fn decided(&mut self, whole: Instant, course: Course, answer: &Answer) -> Instant {
+        let figures = &self.server.figures;
+        let now = Instant::now();
+        figures.waited(Place::Decision, course.sent.unwrap_or(now).duration_since(whole));
+        let mut first_byte = None;
+        if let Some(sent) = course.sent {
+            figures.waited(Place::Servers, now.duration_since(sent));
+        }
+        if let (Answer::Served { .. }, Some((_, class))) = (answer, &self.open) {
+            let took = now.duration_since(whole);
+            class.ends.first_byte(took);
+            first_byte = Some(took);
+        }
+        if let Some(line) = &mut self.line {
+            line.course = course;
+            line.first_byte = first_byte;
+            if let Answer::Refused { reason, .. } = answer {
+                line.reason = REASONS.iter().find(|(of, _)| of == reason).map(|(_, name)| *name);
+            }
+        }
+        now
+    }
+}
+
+impl Line {
+    fn write(&self, end: End, took: Duration, driver: &Driver) {
+        let ms = |time: Duration| (time.as_secs_f64() * 1e6).round() / 1e3;
+        let until = |from: Instant, to: Instant| ms(to.saturating_duration_since(from));
+        let Course { sent, attempts, server } = self.course;
+        let now = Instant::now();
+        tracing::debug!(
+            target: REQUEST,
+            parent: &self.span,
+            outcome = end.name(),
+            reason = self.reason,
+            attempts,
+            server = server.map(|server| driver.name(server)),
+            took_ms = ms(took),
+            body_ms = ms(self.body),
+            room_ms = ms(self.room),
+            decision_ms = until(self.whole, sent.unwrap_or(now)),
+            servers_ms = sent.map(|sent| until(sent, now)),
+            first_byte_ms = self.first_byte.map(ms),
+            "request ended"
+        );
+    }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
         self.server.busy.set(self.server.busy.get() - 1);
-        self.end(None);
+        self.end(End::Gone);
     }
 }
 
 impl Server {
     pub fn new(
-        driver: Rc<Driver>, tables: Tables, figures: Rc<Figures>, budget: Rc<Budget>, places: Arc<Semaphore>,
+        driver: Rc<Driver>, tables: Tables, figures: Rc<Figures>, names: Names, budget: Rc<Budget>,
+        places: Arc<Semaphore>,
     ) -> Rc<Self> {
         let (tables, drain) = (RefCell::new(tables), watch::Sender::new(Drain::No));
         let (open, busy, connections) = Default::default();
-        Rc::new(Server { driver, tables, figures, open, budget, drain, busy, connections, places })
+        Rc::new(Server { driver, tables, figures, names, open, budget, drain, busy, connections, places })
     }
 
     /// Takes over the settings of another configuration, all or none of them. What is open goes on by the former
@@ -226,10 +304,10 @@
         self.tables.borrow().longest_ms()
     }
 
-    /// The figures for operators.
-    pub fn stats(&self) -> String {
+    /// What stands so now.
+    pub fn present(&self) -> Present {
         let (listed, avoided) = self.driver.listed();
-        self.figures.text(&Present { open: self.open.get(), listed, avoided })
+        Present { open: self.open.get(), connections: self.connections.get(), listed, avoided }
     }
 
     /// The part of the process's status that lies with clients and servers.
@@ -245,6 +323,7 @@
         status.open_requests = self.open.get();
         status.relayed = self.figures.relayed_total();
         status.classes = self.figures.classes();
+        status.refusals = self.figures.refusals();
         status.servers = Servers { listed, avoided };
     }
 
@@ -363,7 +442,10 @@
     async fn reply(self: &Rc<Self>, request: Request<Incoming>, whole_by: Instant) -> Reply {
         let mut reply = match self.answer(request, whole_by, Ticket::new(self)).await {
             Ok(reply) => reply,
-            Err(fault) => fault.reply(),
+            Err(fault) => {
+                self.figures.malformed(fault.status.as_u16());
+                fault.reply()
+            }
         };
         // With all places taken a client is asked to go: those that wait to be accepted would starve behind
         // connections that are kept idle.
@@ -401,6 +483,8 @@
                 ..Fault::new(StatusCode::SERVICE_UNAVAILABLE, "no room for the body now\n")
             })?,
         };
+        // One without a body waits in neither place.
+        let in_room = if size == Some(0) { ticket.began } else { Instant::now() };
         let mut held = BytesMut::new();
         let more = loop {
             match upload.piece().await? {
@@ -412,13 +496,23 @@
             }
         };
         // A request's time counts from its last byte.
-        asked.at = Instant::now();
+        let whole = Instant::now();
+        asked.at = whole;
+        if size != Some(0) {
+            self.figures.waited(Place::Room, in_room.duration_since(ticket.began));
+            self.figures.waited(Place::Body, whole.duration_since(in_room));
+        }
         let length = if more.is_some() { size } else { Some(held.len() as u64) };
         let work = work(&class, &parts.uri, &parts.headers, &held, length, more.clone(), part);
         drop(held);
-        let (id, answer) = self.driver.request(&asked, work);
+        let ((id, answer), span) = self.taken(&asked, &class, work);
         ticket.open(id, class);
-        let answer = self.driver.answer(id, answer).await;
+        let (body, room) = (whole.duration_since(in_room), in_room.duration_since(ticket.began));
+        let (course, first_byte, reason) = Default::default();
+        let line = |span| Box::new(Line { span, body, room, whole, course, first_byte, reason });
+        ticket.line = span.map(line);
+        let (answer, course) = self.driver.answer(id, answer).await;
+        let now = ticket.decided(whole, course, &answer);
         if let Some(upload) = more.and_then(|more| more.take()) {
             tokio::task::spawn_local(upload.drain());
         }
@@ -426,7 +520,7 @@
             Answer::Served { content_type, content } => {
                 let ticket = match &content {
                     Content::Whole { .. } => {
-                        ticket.end(Some(End::Fulfilled));
+                        ticket.end_at(End::Fulfilled, now);
                         None
                     }
                     // It ends with the stream.
@@ -439,8 +533,8 @@
                 }
                 reply
             }
-            Answer::Refused { retry_after_ms } => {
-                ticket.end(Some(End::Throttled));
+            Answer::Refused { retry_after_ms, .. } => {
+                ticket.end_at(End::Throttled, now);
                 let mut reply = plain(StatusCode::TOO_MANY_REQUESTS, "refused; trying again is harmless\n");
                 if retry_after_ms > 0.0 {
                     let seconds = format!("{:.3}", retry_after_ms / 1000.0);
@@ -449,13 +543,34 @@
                 reply
             }
             Answer::Failed => {
-                ticket.end(Some(End::Faulted));
+                ticket.end_at(End::Faulted, now);
                 plain(StatusCode::BAD_GATEWAY, "failed; it may have run\n")
             }
             Answer::Short(short) => return Err(short.into()),
         })
     }
 
+    /// Hands a request to the driver, in a span of its own where such are written.
+    fn taken(&self, asked: &Asked, class: &Class, work: Work) -> ((RequestId, Awaited), Option<Span>) {
+        if !tracing::enabled!(target: REQUEST, Level::DEBUG) {
+            return (self.driver.request(asked, work), None);
+        }
+        let (customer, plan) = (self.names.customer(asked.customer), asked.plan as usize);
+        let span = tracing::debug_span!(
+            target: REQUEST,
+            "request",
+            id = tracing::field::Empty,
+            class = class.name,
+            plan = self.tables.borrow().plan_name(plan),
+            customer,
+            units = asked.units,
+            repeat = asked.repeat,
+        );
+        let (id, answer) = span.in_scope(|| self.driver.request(asked, work));
+        span.record("id", id);
+        ((id, answer), Some(span))
+    }
+
     /// Reads what a request says of itself. What is wrong with it is the client's fault, and never a refusal.
     fn read(&self, method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<(Asked, Rc<Class>), Fault> {
         let lane = uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
--- a/src/bin/heronstage/status.rs
+++ b/src/bin/heronstage/status.rs
@@ -1,6 +1,7 @@
 //! What a process tells of itself to operators, in one form for the side that tells and the side that reads.
 
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// A process at one moment.
 #[derive(Debug, Deserialize, Serialize)]
@@ -19,6 +20,8 @@
     /// Attempts written whole to servers.
     pub relayed: u64,
     pub classes: Vec<Class>,
+    /// Requests refused, by reason: `room`, `quota`, `unsent` and `time`.
+    pub refusals: BTreeMap<String, u64>,
     pub servers: Servers,
     /// Absent without a cluster.
     pub members: Option<Members>,
--- a/src/bin/heronstage/tables.rs
+++ b/src/bin/heronstage/tables.rs
@@ -91,6 +91,11 @@
         self.plans.iter().position(|(plan, live)| *live && plan.name == name)
     }
 
+    /// The name of a plan.
+    pub fn plan_name(&self, number: usize) -> &str {
+        self.plans.get(number).map_or("", |(plan, _)| &plan.name)
+    }
+
     /// The longest deadline of a class that may still be open, in ms.
     pub fn longest_ms(&self) -> f64 {
         self.classes.iter().map(|(class, _)| class.is.deadline_ms).fold(0.0, f64::max)
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -148,6 +148,39 @@
     assert_eq!(view["standing"], "member");
 }
 
+#[test]
+fn top_writes_lines_where_the_output_is_no_terminal() {
+    let (backend, _) = good();
+    let gateway = Gateway::new(&operated(&[backend]));
+    let at = gateway.operator();
+    assert_eq!(gateway.get(1, 1).status(), 200);
+    let (code, out, err) = run(&["top", "--looks", "2", "--every", "0.05"], Some(at));
+    assert_eq!((code, err.as_str()), (0, ""));
+    let lines: Vec<_> = out.lines().collect();
+    assert_eq!(lines.len(), 2, "{out}");
+    assert!(lines[0].contains(" phase=ready served/s=- ") && lines[0].contains(" servers=1/1 "), "{out}");
+    assert!(lines[1].contains(" served/s=0.0 refused/s=0.0 failed/s=0.0 "), "{out}");
+    let (code, out, _) = run(&["top", "--looks", "2", "--every", "0.05", "--json"], Some(at));
+    assert_eq!(code, 0);
+    let objects: Vec<serde_json::Value> =
+        out.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+    assert_eq!(objects.len(), 2);
+    assert_eq!(run(&["top"], Some(nobody())).0, 3);
+}
+
+#[test]
+fn levels_of_the_log_are_changed_from_a_shell() {
+    let gateway = Gateway::new(&operated(&[nobody()]));
+    let at = gateway.operator();
+    assert_eq!(
+        run(&["log", "info,request=debug"], Some(at)),
+        (0, "other levels\n".to_owned(), String::new())
+    );
+    assert_eq!(run(&["log", "request=loud"], Some(at)).0, 2);
+    gateway.get(1, 1);
+    while !gateway.log.recv_timeout(LONG).expect("a line of the request").contains("request ended") {}
+}
+
 #[test]
 fn completions_and_the_manual_name_every_command() {
     let commands = ["serve", "status", "members", "drain", "resume"];
