Fix a request's deadline once, and take an absolute moment from its client

A request's end was reckoned as a number of ms in two places, and a client could not state a moment that outlives a slow body or another try. There is now one type (deadline.rs): Stated reads X-Remaining-Ms and X-Deadline-Unix-Ms (the earlier holds, the clock is read once), Deadline is the moment that the driver, the body and the room for it wait for. What is over is answered 429 at once and sent nowhere; a body that is not whole by its moment ends then, also on its way to a server. A header given twice or with a sign is now 400. Figures: expiries by place, time left at the first attempt and at the answer.

--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -4,6 +4,7 @@
 use crate::backends::{Answered, Attempt, Backends};
 use crate::config::{Registry, ServerState};
 use crate::counter::{Call, Counted, Lanes};
+use crate::deadline::Deadline;
 use crate::figures::Figures;
 use crate::http::Head;
 use crate::peers::Peers;
@@ -24,9 +25,6 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout_at, Instant};
 
-/// A final answer leaves so long before the client's time is up: it has a way to go, and the request had one.
-const MARGIN_MS: f64 = 10.0;
-
 /// How often a request whose body streams is looked at: its end is not known before that.
 const LOOK: Duration = Duration::from_secs(1);
 
@@ -106,9 +104,9 @@
     pub units: f64,
     pub spread: f64,
     pub repeat: bool,
-    pub remaining_ms: f64,
-    /// When it came in.
-    pub at: Instant,
+    pub deadline: Deadline,
+    /// Its moment, where the client stated one: a large body whose time runs from its end ends no later.
+    pub until: Option<Instant>,
 }
 
 /// One attempt on its way.
@@ -190,6 +188,8 @@
     /// When its time is up; none while its body streams.
     ends: Option<Instant>,
     budget: Duration,
+    /// Its moment, where the client stated one.
+    until: Option<Instant>,
     /// Withdraws the attempt of this number; none where it has ended.
     attempts: Vec<Option<oneshot::Sender<()>>>,
 }
@@ -287,15 +287,15 @@
     /// A request came in. Its answer comes by the receiver.
     pub fn request(self: &Rc<Self>, asked: &Asked, work: Work) -> (RequestId, Awaited) {
         let (answer, receiver) = oneshot::channel();
-        let passed = asked.at.elapsed().as_secs_f64() * 1000.0;
-        let budget_ms = (asked.remaining_ms - passed - MARGIN_MS).max(0.0);
-        let (budget, streams) = (Duration::from_secs_f64(budget_ms / 1000.0), work.more.is_some());
-        let ends = Some(Instant::now() + budget).filter(|_| !streams);
+        let (budget, streams) = (asked.deadline.left(Instant::now()), work.more.is_some());
+        let budget_ms = budget.as_secs_f64() * 1000.0;
+        let ends = Some(asked.deadline.at()).filter(|_| !streams);
         let inner = &mut *self.inner.borrow_mut();
         let id = inner.next;
         inner.next += 1;
         let (course, attempts) = Default::default();
-        let open = Open { answer: Some(answer), course, work: Rc::new(work), ends, budget, attempts };
+        let (answer, work, until) = (Some(answer), Rc::new(work), asked.until);
+        let open = Open { answer, course, work, ends, budget, until, attempts };
         inner.open.insert(id, open);
         let request = Request {
             id,
@@ -339,6 +339,7 @@
         let until = Instant::now() + timeout;
         let Some(open) = inner.open.get_mut(&id) else { return until };
         let ends = Instant::now() + open.budget;
+        let ends = open.until.map_or(ends, |until| until.min(ends));
         open.ends = Some(ends);
         self.handle(inner, Event::Whole { id, attempt: attempt as u8 });
         until.min(ends)
--- a/src/bin/heronstage/figures.rs
+++ b/src/bin/heronstage/figures.rs
@@ -114,6 +114,11 @@
     place: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ByMoment {
+    at: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ByReason {
     reason: &'static str,
@@ -163,10 +168,12 @@
     times: Family<ByOutcome, Histogram>,
     first_byte: Family<ByClass, Histogram>,
     places: [Histogram; PLACES.len()],
+    expired: [Counter; PLACES.len()],
+    left: [Histogram; 2],
     refusals: [Counter; REASONS.len()],
     attempts: [Counter; RESULTS.len()],
     calls: [Counter; RESULTS.len()],
-    malformed: Family<ByStatus, Counter>,
+    undecided: Family<ByStatus, Counter>,
     relayed: Counter,
     accepted: Counter,
     invalid: Counter,
@@ -200,14 +207,19 @@
         more.register_with_unit("first_byte", help, seconds(), first_byte.clone());
         let places = Family::<ByPlace, Histogram, _>::new_with_constructor(histogram as fn() -> _);
         more.register_with_unit("request_wait", "Time of requests by place", seconds(), places.clone());
+        let expired = Family::<ByPlace, Counter>::default();
+        more.register("expired", "Requests whose time was over unserved, by place", expired.clone());
+        let left = Family::<ByMoment, Histogram, _>::new_with_constructor(histogram as fn() -> _);
+        let help = "Time left of requests, at the first attempt and at the answer";
+        more.register_with_unit("time_left", help, seconds(), left.clone());
         let refusals = Family::<ByReason, Counter>::default();
         more.register("refusals", "Requests refused, by reason", refusals.clone());
         let attempts = Family::<ByResult, Counter>::default();
         more.register("attempts", "Attempts at servers, by result", attempts.clone());
         let calls = Family::<ByResult, Counter>::default();
         more.register("counter_calls", "Calls to the counter, by result", calls.clone());
-        let malformed = Family::default();
-        more.register("malformed", "Requests that were the client's fault, by status", malformed.clone());
+        let undecided = Family::default();
+        more.register("undecided", "Requests answered without a decision, by status", undecided.clone());
 
         let by_result = |family: &Family<ByResult, Counter>| {
             RESULTS.map(|ended| family.get_or_create_owned(&ByResult { result: result(ended) }))
@@ -215,6 +227,8 @@
         Figures {
             classes: RefCell::default(),
             places: PLACES.map(|(_, place)| places.get_or_create_owned(&ByPlace { place })),
+            expired: PLACES.map(|(_, place)| expired.get_or_create_owned(&ByPlace { place })),
+            left: ["sent", "answered"].map(|at| left.get_or_create_owned(&ByMoment { at })),
             refusals: REASONS.map(|(_, reason)| refusals.get_or_create_owned(&ByReason { reason })),
             attempts: by_result(&attempts),
             calls: by_result(&calls),
@@ -223,7 +237,7 @@
             operations,
             times,
             first_byte,
-            malformed,
+            undecided,
             relayed,
             accepted,
             invalid,
@@ -304,9 +318,9 @@
         self.refusals[reason as usize].inc();
     }
 
-    /// A request was the client's fault.
-    pub fn malformed(&self, status: u16) {
-        self.malformed.get_or_create(&ByStatus { status }).inc();
+    /// A request was answered without a decision: it was the client's fault, or could not be taken in.
+    pub fn undecided(&self, status: u16) {
+        self.undecided.get_or_create(&ByStatus { status }).inc();
     }
 
     /// A request spent time in a place.
@@ -314,6 +328,19 @@
         self.places[place as usize].observe(took.as_secs_f64());
     }
 
+    /// A request's time was over in this place, and it was not served.
+    pub fn expired(&self, place: Place) {
+        self.expired[place as usize].inc();
+    }
+
+    /// The time that was left at the first attempt, if there was one, and at the answer.
+    pub fn left(&self, sent: Option<Duration>, answered: Duration) {
+        if let Some(sent) = sent {
+            self.left[0].observe(sent.as_secs_f64());
+        }
+        self.left[1].observe(answered.as_secs_f64());
+    }
+
     /// A configuration was read at SIGHUP, and taken or not.
     pub fn configured(&self, taken: bool) {
         if taken { &self.accepted } else { &self.invalid }.inc();
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod config;
 mod counter;
+mod deadline;
 mod discovery;
 mod driver;
 mod figures;
--- a/src/bin/heronstage/room.rs
+++ b/src/bin/heronstage/room.rs
@@ -81,11 +81,13 @@
     since: Instant,
     /// It may be silent until then all the same.
     by: Instant,
+    /// Its client does not wait any longer, whatever its pace.
+    until: Option<Instant>,
 }
 
 impl Upload {
-    pub fn new(body: Incoming, by: Instant) -> Self {
-        Upload { body, got: 0, since: Instant::now(), by }
+    pub fn new(body: Incoming, by: Instant, until: Option<Instant>) -> Self {
+        Upload { body, got: 0, since: Instant::now(), by, until }
     }
 
     /// Its size, if its head tells.
@@ -98,6 +100,7 @@
         loop {
             let pace = Duration::from_secs_f64(self.got as f64 / PACE);
             let by = self.by.max(self.since + BEHIND + pace);
+            let by = self.until.map_or(by, |until| until.min(by));
             match timeout_at(by, self.body.frame()).await {
                 Ok(None) => return Ok(None),
                 Ok(Some(Ok(frame))) => {
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -1,6 +1,7 @@
 //! Clients: takes in their requests by HTTP/1.1 and writes the answers.
 
 use crate::config::Config;
+use crate::deadline::{Deadline, Stated};
 use crate::driver::{Answer, Asked, Awaited, Course, Driver, Work};
 use crate::figures::{End, Figures, Place, Present, REASONS};
 use crate::logs::{Names, REQUEST};
@@ -22,7 +23,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
@@ -41,8 +42,6 @@
 const ROOM_TIME: Duration = Duration::from_millis(1500);
 /// What is read from a client at once, and the longest head.
 const READ: usize = 16 * 1024;
-/// Longest wait that a client may state.
-const REMAINING_MOST_MS: u64 = 3_600_000;
 /// A customer's number stays below this.
 const CUSTOMERS: u64 = 1 << 33;
 
@@ -137,8 +136,8 @@
 
 type Reply = Response<Replied>;
 
-/// What is wrong with a request. It is answered with neither 429 nor 503: those promise that trying again is
-/// harmless.
+/// Why a request never reaches the decision. 429 and 503 promise that trying again is harmless; what is the client's
+/// fault is answered with neither.
 struct Fault {
     status: StatusCode,
     text: &'static str,
@@ -163,6 +162,12 @@
         Fault { status, text, allow: None, retry_after: None }
     }
 
+    /// Nothing of it was read: trying again is harmless.
+    fn no_room() -> Self {
+        let text = "no room for the body now\n";
+        Fault { retry_after: Some(1), ..Fault::new(StatusCode::SERVICE_UNAVAILABLE, text) }
+    }
+
     fn reply(self) -> Reply {
         let mut reply = plain(self.status, self.text);
         let allow = self.allow.and_then(|method| HeaderValue::try_from(method.as_str()).ok());
@@ -225,7 +230,9 @@
     }
 
     /// The module has ended the request, now.
-    fn decided(&mut self, whole: Instant, course: Course, answer: &Answer) -> Instant {
+    fn decided(
+        &mut self, whole: Instant, deadline: Option<Deadline>, course: Course, answer: &Answer,
+    ) -> Instant {
         let figures = &self.server.figures;
         let now = Instant::now();
         figures.waited(Place::Decision, course.sent.unwrap_or(now).duration_since(whole));
@@ -233,6 +240,12 @@
         if let Some(sent) = course.sent {
             figures.waited(Place::Servers, now.duration_since(sent));
         }
+        if let Some(deadline) = deadline {
+            figures.left(course.sent.map(|sent| deadline.left(sent)), deadline.left(now));
+            if deadline.over(now) && !matches!(answer, Answer::Served { .. }) {
+                figures.expired(if course.sent.is_some() { Place::Servers } else { Place::Decision });
+            }
+        }
         if let (Answer::Served { .. }, Some((_, class))) = (answer, &self.open) {
             let took = now.duration_since(whole);
             class.ends.first_byte(took);
@@ -443,7 +456,7 @@
         let mut reply = match self.answer(request, whole_by, Ticket::new(self)).await {
             Ok(reply) => reply,
             Err(fault) => {
-                self.figures.malformed(fault.status.as_u16());
+                self.figures.undecided(fault.status.as_u16());
                 fault.reply()
             }
         };
@@ -469,25 +482,27 @@
             "/health/live" => return Ok(plain(StatusCode::OK, "")),
             _ => {}
         }
-        let (mut asked, class) = self.read(&parts.method, &parts.uri, &parts.headers)?;
-        let mut upload = Upload::new(body, whole_by);
+        let (mut asked, stated, class) =
+            self.read(&parts.method, &parts.uri, &parts.headers, ticket.began)?;
+        let mut upload = Upload::new(body, whole_by, stated.until());
         let size = upload.size();
         if size.is_some_and(|size| size > BODY_MOST) {
             return Err(Short::TooLarge.into());
         }
         let part = match size {
             Some(0) => None,
-            // Nothing of it was read: trying again is harmless.
-            _ => timeout_at(Instant::now() + ROOM_TIME, self.budget.body(size)).await.map_err(|_| Fault {
-                retry_after: Some(1),
-                ..Fault::new(StatusCode::SERVICE_UNAVAILABLE, "no room for the body now\n")
-            })?,
+            _ => {
+                let by = stated.within(Instant::now() + ROOM_TIME);
+                let room = timeout_at(by, self.budget.body(size)).await;
+                room.map_err(|_| self.expired(&stated, Place::Room).unwrap_or_else(Fault::no_room))?
+            }
         };
         // One without a body waits in neither place.
         let in_room = if size == Some(0) { ticket.began } else { Instant::now() };
         let mut held = BytesMut::new();
         let more = loop {
-            match upload.piece().await? {
+            let piece = upload.piece().await;
+            match piece.map_err(|short| self.expired(&stated, Place::Body).unwrap_or_else(|| short.into()))? {
                 None => break None,
                 Some(piece) => held.extend_from_slice(&piece),
             }
@@ -497,11 +512,13 @@
         };
         // A request's time counts from its last byte.
         let whole = Instant::now();
-        asked.at = whole;
+        asked.deadline = stated.from(whole);
         if size != Some(0) {
             self.figures.waited(Place::Room, in_room.duration_since(ticket.began));
             self.figures.waited(Place::Body, whole.duration_since(in_room));
         }
+        // The time of a body that streams counts from its end.
+        let deadline = Some(asked.deadline).filter(|_| more.is_none());
         let length = if more.is_some() { size } else { Some(held.len() as u64) };
         let work = work(&class, &parts.uri, &parts.headers, &held, length, more.clone(), part);
         drop(held);
@@ -512,7 +529,7 @@
         let line = |span| Box::new(Line { span, body, room, whole, course, first_byte, reason });
         ticket.line = span.map(line);
         let (answer, course) = self.driver.answer(id, answer).await;
-        let now = ticket.decided(whole, course, &answer);
+        let now = ticket.decided(whole, deadline, course, &answer);
         if let Some(upload) = more.and_then(|more| more.take()) {
             tokio::task::spawn_local(upload.drain());
         }
@@ -550,6 +567,14 @@
         })
     }
 
+    /// The answer to a request whose time was over before it was whole: it was sent nowhere.
+    fn expired(&self, stated: &Stated, place: Place) -> Option<Fault> {
+        stated.over(Instant::now()).then(|| {
+            self.figures.expired(place);
+            Fault::new(StatusCode::TOO_MANY_REQUESTS, "its time is over; trying again is harmless\n")
+        })
+    }
+
     /// Hands a request to the driver, in a span of its own where such are written.
     fn taken(&self, asked: &Asked, class: &Class, work: Work) -> ((RequestId, Awaited), Option<Span>) {
         if !tracing::enabled!(target: REQUEST, Level::DEBUG) {
@@ -572,7 +597,9 @@
     }
 
     /// Reads what a request says of itself. What is wrong with it is the client's fault, and never a refusal.
-    fn read(&self, method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<(Asked, Rc<Class>), Fault> {
+    fn read(
+        &self, method: &Method, uri: &Uri, headers: &HeaderMap, now: Instant,
+    ) -> Result<(Asked, Stated, Rc<Class>), Fault> {
         let lane = uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
         let tables = self.tables.borrow();
         let Some(class) = tables.class(lane) else {
@@ -600,9 +627,7 @@
         }
         let plan = text("x-plan").and_then(|plan| tables.plan(plan));
         let plan = plan.ok_or_else(|| bad("X-Plan is missing or unknown\n"))?;
-        let remaining = text("x-remaining-ms").and_then(|v| v.parse::<u64>().ok());
-        let remaining = remaining.filter(|ms| *ms <= REMAINING_MOST_MS);
-        let remaining = remaining.ok_or_else(|| bad("X-Remaining-Ms is missing or no whole number\n"))?;
+        let stated = Stated::read(headers, SystemTime::now(), now).map_err(bad)?;
         let account = uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("account=")));
         let account = account.filter(|a| a.len() == 16 && a.bytes().all(|b| b.is_ascii_hexdigit()));
         let account = account.and_then(|a| u64::from_str_radix(a, 16).ok()).filter(|a| *a < CUSTOMERS);
@@ -623,10 +648,10 @@
             units,
             spread,
             repeat: text("x-resent") == Some("1"),
-            remaining_ms: remaining as f64,
-            at: Instant::now(),
+            deadline: stated.from(now),
+            until: stated.until(),
         };
-        Ok((asked, class))
+        Ok((asked, stated, class))
     }
 }
 
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -183,7 +183,7 @@
     for status in [400, 404, 405] {
         let count: u64 = counts.iter().filter(|((_, s), _)| *s == status).map(|(_, count)| count).sum();
         assert!(count > 0, "no {status}");
-        assert_eq!(samples[&format!("heronstage_malformed_total{{status=\"{status}\"}}")], count as f64);
+        assert_eq!(samples[&format!("heronstage_undecided_total{{status=\"{status}\"}}")], count as f64);
     }
     let sum =
         |start: &str| -> f64 { samples.iter().filter(|(n, _)| n.starts_with(start)).map(|(_, v)| v).sum() };
