--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -288,6 +288,57 @@
     await_figure(at, "relay_cfg_invalid_total", 2);
 }
 
+#[test]
+fn json_for_people_has_the_same_keys_and_mistakes() {
+    let whole = serde_json::json!({
+        "listeners": {"clients": "127.0.0.1:0"},
+        "discovery": {"address": "127.0.0.1:8500"},
+        "classes": [{"name": "look", "aim": "1s", "deadline": "2s", "effect": "safe"}],
+        "plans": [{"name": "small", "rate": 1.0, "burst": 2.0}],
+    });
+    let fine = file(format!("{whole:#}"), "json");
+    assert_eq!(run(program().arg("check").arg(&fine)), (0, "no mistake\n".to_owned(), String::new()));
+    let mut bad = whole;
+    bad["classes"][0]["deadline"] = 2000.into();
+    bad["plans"][0]["rat"] = 1.0.into();
+    bad["counter"] = serde_json::Value::Null;
+    let mut told = mistakes(&file(format!("{bad:#}"), "json"));
+    told.iter_mut().for_each(|line| *line = line.split_once(": ").unwrap().1.to_owned());
+    told.sort_unstable();
+    let wanted = [
+        "classes[0].deadline: got 2000, wanted a time with its unit, like 250ms, 2s or 1m 30s",
+        "counter: got nothing, wanted a table",
+        "plans[0].rat: not known; the nearest known key is rate",
+    ];
+    assert_eq!(told, wanted);
+}
+
+#[test]
+fn the_platforms_file_is_taken_and_what_needs_a_restart_is_named() {
+    let (backend, _) = good();
+    let config = operated(&[backend]);
+    let gateway = Gateway::new(&config);
+    let at = gateway.operator();
+    let mut other = config.clone();
+    other["settings"]["limits"]["try-limit"] = 2.into();
+    other["limits"]["sockets"] = 300.into();
+    other["seed"] = "1".into();
+    std::fs::write(&gateway.path, other.to_string()).unwrap();
+    let (code, out, err) = run(program().args(["reload", "--operators", &at.to_string()]));
+    let wanted = "changed: limits.sockets, holds after a restart\nchanged: settings.limits.try-limit\n";
+    assert_eq!((code, out.as_str(), err.as_str()), (0, wanted, ""));
+    let line = loop {
+        let line = gateway.log.recv_timeout(LONG).unwrap();
+        if line.contains("after a restart") {
+            break line;
+        }
+    };
+    assert!(
+        line.starts_with(" WARN heronstage::gateway: these hold after a restart: limits.sockets"),
+        "{line}"
+    );
+}
+
 #[test]
 fn a_file_for_people_serves_as_the_platforms_does() {
     let (backend, got) = good();
