Start the log after the environment is set, and tell the module of changed settings alone

Read again: inherited() sets variables for listenfd and says that no other thread runs yet, but Log::start, put before it, had started the log's thread (gateway.rs, serve). The log now starts after it. A reload by the platform's file told the module its settings anew whenever any key of the file differed, an address of discovery or the seed among them (gateway.rs, Reloads::take: raw had grown from the settings to the whole file). It tells them again only where the settings differ, as before the configuration for people.

Nothing was seen to fail by either: both were found by reading.

--- a/src/bin/heronstage/config/mod.rs
+++ b/src/bin/heronstage/config/mod.rs
@@ -231,18 +231,32 @@
         Changes { restart: restart.cloned().collect(), keys }
     }
 
+    /// Whether a configuration read later brings other settings: an address that moved alone brings none.
+    pub fn retunes(&self, later: &Config) -> bool {
+        if self.strict {
+            self.raw != later.raw
+        } else {
+            self.platform_settings() != later.platform_settings()
+        }
+    }
+
+    /// The settings as the platform's file states them.
+    fn platform_settings(&self) -> &serde_json::Value {
+        &self.raw[platform::SETTINGS]
+    }
+
     /// Why a configuration read later can't be taken, if it can't.
     pub fn turns_down(&self, later: &Config, changes: &Changes) -> Option<String> {
         if self.strict {
             let keys = changes.restart.join(", ");
             return Some(format!("{keys}: needs a restart")).filter(|_| !keys.is_empty());
         }
-        let settings = |config: &Config| config.raw[platform::SETTINGS].clone();
-        if let Some(key) = lacks(&settings(self), &settings(later)) {
+        let (now, then) = (self.platform_settings(), later.platform_settings());
+        if let Some(key) = lacks(now, then) {
             return Some(format!("configuration: settings.{key}: missing"));
         }
         // The list in hand and the module know zones and kinds by their places.
-        let places = ["zones", "kinds"].iter().any(|key| settings(self)[key] != settings(later)[key]);
+        let places = ["zones", "kinds"].iter().any(|key| now[key] != then[key]);
         places.then(|| "configuration: settings: other zones or kinds need a restart".to_owned())
     }
 }
--- a/src/bin/heronstage/gateway.rs
+++ b/src/bin/heronstage/gateway.rs
@@ -49,8 +49,9 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
     let config = source.load()?;
-    let log = Rc::new(Log::start(&config.logs)?);
     let inherited = inherited().map_err(|e| format!("RELAY_LISTEN_FD: {e}"))?;
+    // It starts a thread, which must not read the environment while it is changed above.
+    let log = Rc::new(Log::start(&config.logs)?);
     tokio::task::LocalSet::new().block_on(&runtime, run(source, config, inherited, log))
 }
 
@@ -246,7 +247,7 @@
         }
         // What can fail comes before the first change.
         let change = cluster.prepare(later.cluster.clone())?;
-        if later.raw != config.raw {
+        if config.retunes(&later) {
             server.retune(&later)?;
         }
         cluster.apply(change);
