--- a/tests/command.rs
+++ b/tests/command.rs
@@ -3,17 +3,10 @@
 
 mod played;
 
-use assert_cmd::Command;
 use played::*;
 use std::net::SocketAddr;
 use std::sync::mpsc::channel;
 
-fn program() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_heronstage"));
-    command.env_remove("RELAY_CONFIG").env_remove("RELAY_OPERATOR").timeout(LONG);
-    command
-}
-
 /// Runs a command; its exit code and what it printed on standard output and error.
 fn run(args: &[&str], at: Option<SocketAddr>) -> (i32, String, String) {
     let mut command = program();
@@ -21,9 +14,7 @@
     if let Some(at) = at {
         command.args(["--operators", &at.to_string()]);
     }
-    let output = command.output().unwrap();
-    let text = |bytes| String::from_utf8(bytes).unwrap();
-    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+    outcome(&mut command)
 }
 
 #[test]
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -4,26 +4,12 @@
 
 mod played;
 
-use assert_cmd::Command;
 use played::*;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 
-fn program() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_heronstage"));
-    command.env_remove("RELAY_CONFIG").env_remove("RELAY_OPERATOR").timeout(LONG);
-    command
-}
-
-/// Runs a command; its exit code and what it printed on standard output and error.
-fn run(command: &mut Command) -> (i32, String, String) {
-    let output = command.output().unwrap();
-    let text = |bytes| String::from_utf8(bytes).unwrap();
-    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
-}
-
 fn example() -> String {
-    run(program().args(["config", "example"])).1
+    outcome(program().args(["config", "example"])).1
 }
 
 /// Writes a file of its own with that ending.
@@ -35,7 +21,7 @@
 
 /// What `check` says of a file: the mistakes without the program's and the file's names.
 fn mistakes(path: &Path) -> Vec<String> {
-    let (code, out, err) = run(program().arg("check").arg(path));
+    let (code, out, err) = outcome(program().arg("check").arg(path));
     assert_eq!((code, out.as_str()), (2, ""), "{err}");
     let start = format!("heronstage: {}:", path.display());
     err.lines().map(|line| line.strip_prefix(&start).unwrap_or(line).to_owned()).collect()
@@ -45,9 +31,9 @@
 fn the_example_is_right_and_starts_as_printed() {
     let text = example();
     let path = file(&text, "toml");
-    assert_eq!(run(program().arg("check").arg(&path)), (0, "no mistake\n".to_owned(), String::new()));
+    assert_eq!(outcome(program().arg("check").arg(&path)), (0, "no mistake\n".to_owned(), String::new()));
     // On its own ports it may meet another program here; all else is as printed.
-    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_heronstage"))
+    let child = std::process::Command::new(env!("CARGO_BIN_EXE_heronstage"))
         .args(["serve", "--set", "listeners.clients=127.0.0.1:0", "--set", "listeners.operators=127.0.0.1:0"])
         .arg("--config")
         .arg(&path)
@@ -55,21 +41,15 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    let gateway = Gateway::started((std::mem::replace(&mut child, spare()), path));
+    let gateway = Gateway::started((child, path));
     assert_eq!(gateway.ask("GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
-    let _ = child.wait();
-}
-
-/// A process to stand where one was taken out.
-fn spare() -> std::process::Child {
-    std::process::Command::new("true").spawn().unwrap()
 }
 
 #[test]
 fn what_is_made_from_the_types_stands_in_the_documents() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
     let read = |name: &str| std::fs::read_to_string(root.join(name)).unwrap();
-    let made = |what: &str| run(program().args(["config", what])).1;
+    let made = |what: &str| outcome(program().args(["config", what])).1;
     assert_eq!(read("configuration.schema.json"), made("schema"), "heronstage config schema has moved on");
     assert_eq!(read("configuration.example.toml"), made("example"), "heronstage config example has moved on");
     assert!(read("configuration.md").contains(&made("keys")), "heronstage config keys has moved on");
@@ -191,7 +171,7 @@
     config["nobody knows"] = 1.into();
     config["operator"] = serde_json::Value::Null;
     let fine = file(config.to_string(), "json");
-    assert_eq!(run(program().arg("check").arg(&fine)).0, 0);
+    assert_eq!(outcome(program().arg("check").arg(&fine)).0, 0);
     config["settings"]["rules"]["cold-from"] = "warm".into();
     config["settings"]["limits"]["try-limit"] = 0.into();
     config["settings"]["categories"][1]["give-up-ms"] = 0.into();
@@ -220,7 +200,7 @@
         .env("HERONSTAGE_NAME", "from the environment")
         .args(["config", "show", "--json", "--set", "name=from a flag", "--set", "retries.attempts=2"])
         .arg(&path);
-    let (code, out, err) = run(&mut command);
+    let (code, out, err) = outcome(&mut command);
     assert_eq!((code, err.as_str()), (0, ""));
     let rows: Vec<serde_json::Value> = serde_json::from_str(&out).unwrap();
     let of = |key: &str| {
@@ -236,7 +216,7 @@
     // A mistake is told where it was made.
     let mut command = program();
     command.env("HERONSTAGE_LIMITS__DESCRIPTORS", "many").arg("check").arg(&path).args(["--set", "zoen=a"]);
-    let (code, _, err) = run(&mut command);
+    let (code, _, err) = outcome(&mut command);
     assert_eq!(code, 2);
     let wanted = "heronstage: flag --set: zoen: not known; the nearest known key is zone\n\
         heronstage: environment HERONSTAGE_LIMITS__DESCRIPTORS: limits.descriptors: got \"many\", wanted a whole number of at least 40\n";
@@ -262,7 +242,7 @@
     let (gateway, at) = serving(|text| text);
     let reload = |text: &str| {
         std::fs::write(&gateway.path, text).unwrap();
-        run(program().args(["reload", "--operators", &at.to_string()]))
+        outcome(program().args(["reload", "--operators", &at.to_string()]))
     };
     let first = std::fs::read_to_string(&gateway.path).unwrap();
     assert_eq!(reload(&first), (0, "nothing changed\n".to_owned(), String::new()));
@@ -297,7 +277,7 @@
         "plans": [{"name": "small", "rate": 1.0, "burst": 2.0}],
     });
     let fine = file(format!("{whole:#}"), "json");
-    assert_eq!(run(program().arg("check").arg(&fine)), (0, "no mistake\n".to_owned(), String::new()));
+    assert_eq!(outcome(program().arg("check").arg(&fine)), (0, "no mistake\n".to_owned(), String::new()));
     let mut bad = whole;
     bad["classes"][0]["deadline"] = 2000.into();
     bad["plans"][0]["rat"] = 1.0.into();
@@ -324,7 +304,7 @@
     other["limits"]["sockets"] = 300.into();
     other["seed"] = "1".into();
     std::fs::write(&gateway.path, other.to_string()).unwrap();
-    let (code, out, err) = run(program().args(["reload", "--operators", &at.to_string()]));
+    let (code, out, err) = outcome(program().args(["reload", "--operators", &at.to_string()]));
     let wanted = "changed: limits.sockets, holds after a restart\nchanged: settings.limits.try-limit\n";
     assert_eq!((code, out.as_str(), err.as_str()), (0, wanted, ""));
     let line = loop {
@@ -378,7 +358,7 @@
             turns
         }
     });
-    let checks: Vec<_> = (0..20).map(|_| run(program().arg("check").arg(&path)).0).collect();
+    let checks: Vec<_> = (0..20).map(|_| outcome(program().arg("check").arg(&path)).0).collect();
     ended.store(true, std::sync::atomic::Ordering::Relaxed);
     assert!(writer.join().unwrap() > 20);
     assert_eq!(checks, [0; 20]);
--- a/tests/deadline.rs
+++ b/tests/deadline.rs
@@ -5,7 +5,6 @@
 
 use played::*;
 use std::io::Write;
-use std::net::SocketAddr;
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -20,12 +19,6 @@
     text.replacen("X-Quota", &format!("X-Deadline-Unix-Ms: {}\r\nX-Quota", moment(ms)), 1)
 }
 
-fn figure(at: SocketAddr, name: &str) -> f64 {
-    let text = String::from_utf8(call(at, "GET /metrics").body).unwrap();
-    let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
-    value.unwrap_or_else(|| panic!("no {name}")).parse().unwrap()
-}
-
 #[test]
 fn a_moment_that_is_over_is_answered_at_once_and_sent_nowhere() {
     let (backend, got) = good();
@@ -39,15 +32,15 @@
         assert!(start.elapsed() < Duration::from_millis(500));
     }
     assert_eq!(got.lock().unwrap().len(), 0);
-    assert_eq!(figure(at, "heronstage_expired_total{place=\"decision\"}"), 4.0);
-    assert_eq!(figure(at, "heronstage_refusals_total{reason=\"time\"}"), 4.0);
+    assert_eq!(metric(at, "heronstage_expired_total{place=\"decision\"}"), 4.0);
+    assert_eq!(metric(at, "heronstage_refusals_total{reason=\"time\"}"), 4.0);
     // One ahead counts like what remains, and the earlier of both holds.
     assert_eq!(gateway.ask(&until(&look(5, 1, 3000), 600)).status(), 200);
     assert_eq!(gateway.ask(&until(&look(6, 1, 400), 3000)).status(), 200);
     let told: Vec<u64> =
         got.lock().unwrap().iter().map(|m| m.headers["x-remaining-ms"].parse().unwrap()).collect();
     assert!(told[0] > 300 && told[0] <= 590 && told[1] > 200 && told[1] <= 390, "{told:?}");
-    assert_eq!(figure(at, "heronstage_time_left_seconds_count{at=\"sent\"}"), 2.0);
+    assert_eq!(metric(at, "heronstage_time_left_seconds_count{at=\"sent\"}"), 2.0);
 }
 
 #[test]
@@ -83,7 +76,7 @@
     let took = start.elapsed();
     assert!(took >= Duration::from_millis(300) && took < Duration::from_millis(900), "{took:?}");
     closed.recv_timeout(LONG).expect("the attempt is withdrawn");
-    assert_eq!(figure(at, "heronstage_expired_total{place=\"servers\"}"), 1.0);
+    assert_eq!(metric(at, "heronstage_expired_total{place=\"servers\"}"), 1.0);
 }
 
 #[test]
@@ -99,7 +92,7 @@
     assert_eq!(answer.status(), 429, "nothing was sent on");
     let took = start.elapsed();
     assert!(took >= Duration::from_millis(200) && took < Duration::from_millis(900), "{took:?}");
-    assert_eq!(figure(at, "heronstage_expired_total{place=\"body\"}"), 1.0);
+    assert_eq!(metric(at, "heronstage_expired_total{place=\"body\"}"), 1.0);
     assert_eq!(got.lock().unwrap().len(), 0);
 }
 
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -182,14 +182,9 @@
     let mut open = BufReader::new(std::net::TcpStream::connect(clients).unwrap());
     open.get_mut().set_read_timeout(Some(LONG)).unwrap();
     let begun = Instant::now();
-    let lost = |at| {
-        let text = String::from_utf8(call(at, "GET /metrics").body).unwrap();
-        let line = text.lines().find_map(|line| line.strip_prefix("heronstage_log_lines_dropped_total "));
-        line.unwrap().parse::<u64>().unwrap()
-    };
     let mut asked = 0;
     // A pipe holds 64 KiB and the queue 1,024 lines of some 200 bytes.
-    while lost(operators) == 0 {
+    while metric(operators, "heronstage_log_lines_dropped_total") == 0.0 {
         for _ in 0..200 {
             use std::io::Write;
             open.get_mut().write_all(look(asked, 1, 3000).as_bytes()).unwrap();
--- a/tests/played/mod.rs
+++ b/tests/played/mod.rs
@@ -378,3 +378,25 @@
         std::thread::sleep(Duration::from_millis(20));
     }
 }
+
+/// One figure of those for tools.
+pub fn metric(at: SocketAddr, name: &str) -> f64 {
+    let text = String::from_utf8(call(at, "GET /metrics").body).unwrap();
+    let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value.unwrap_or_else(|| panic!("no {name}")).parse().unwrap()
+}
+
+// ---- The program as a command -----------------------------------------------------------------------------
+
+pub fn program() -> assert_cmd::Command {
+    let mut command = assert_cmd::Command::new(env!("CARGO_BIN_EXE_heronstage"));
+    command.env_remove("RELAY_CONFIG").env_remove("RELAY_OPERATOR").timeout(LONG);
+    command
+}
+
+/// Runs a command; its exit code and what it printed on standard output and error.
+pub fn outcome(command: &mut assert_cmd::Command) -> (i32, String, String) {
+    let output = command.output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+}
