Open a named file in one place, and make a process's status in one step

load, check and show each read a file, parsed it and put its layers together; they now share Named::open and Layers::form, and the arms for a platform's file that no command could reach are gone. The platform's file was turned into the form twice at each start and reload; it is once. A status was filled with placeholders that the server overwrote; it is made of Server::present, Server::phase and the figures, and ready asks phase.

--- a/src/bin/heronstage/config/mod.rs
+++ b/src/bin/heronstage/config/mod.rs
@@ -10,7 +10,7 @@
 pub use check::Fault;
 pub use form::{Customers, Format, Level, Logs};
 pub use guide::{example, keys, schema};
-pub use source::{Shown, Source};
+pub use source::{Named, Shown, Source};
 
 use cherrytally::membership;
 use cherrytally::{Class, Counter, Effect, Group, Limits, Plan, Prices, Reports, Rules, Settings};
--- a/src/bin/heronstage/config/platform.rs
+++ b/src/bin/heronstage/config/platform.rs
@@ -223,21 +223,22 @@
     if let Some(raw) = raw.as_object_mut() {
         raw.remove("known");
     }
-    let faults = file.faults();
-    if let Some(fault) = faults.first() {
+    let form = file.form();
+    if let Some(fault) = file.faults(&form).first() {
         return Err(format!("configuration: {fault}"));
     }
-    file.config(raw)
+    file.config(form, raw)
 }
 
 /// All that is wrong with a file whose keys are whole.
 pub fn faults(value: serde_json::Value) -> Result<Vec<Fault>, serde_path_to_error::Error<serde_json::Error>> {
-    Ok(serde_path_to_error::deserialize::<_, File>(value)?.faults())
+    let file: File = serde_path_to_error::deserialize(value)?;
+    Ok(file.faults(&file.form()))
 }
 
 impl File {
     /// What is wrong with it, by the platform's names.
-    fn faults(&self) -> Vec<Fault> {
+    fn faults(&self, form: &Form) -> Vec<Fault> {
         let w = &self.settings;
         let mut faults = Vec::new();
         let mut fault = |path: &str, what: &str| faults.push(Fault::new(path, what));
@@ -257,22 +258,21 @@
         if w.limits.peers && (self.peer_listen.is_none() || self.peers.len() != w.balancers as usize) {
             fault("peers", "one address for each gateway and peer_listen are needed");
         }
-        let rest = check::faults(&self.form(), false).into_iter();
+        let rest = check::faults(form, false).into_iter();
         faults.extend(rest.map(|fault| fault.named(name)).filter(|fault| !fault.of("counter-timeout-ms")));
         faults
     }
 
-    fn config(self, raw: serde_json::Value) -> Result<Config, String> {
+    fn config(self, form: Form, raw: serde_json::Value) -> Result<Config, String> {
         let w = &self.settings;
-        let (zone, list) = (w.locality, w.domain.counter_timeout_ms);
         let places = Places {
             discovery: self.discovery,
             counter: self.counter,
-            patience: Duration::from_secs_f64(list / 1000.0),
+            patience: Duration::from_secs_f64(w.domain.counter_timeout_ms / 1000.0),
         };
-        let mut config = Config::resolve(self.form(), raw)?;
+        let mut config = Config::resolve(form, raw)?;
         // Two zones of one name are the platform's affair.
-        config.settings.zone = zone;
+        config.settings.zone = w.locality;
         config.places = places;
         config.known = self.known;
         config.strict = false;
--- a/src/bin/heronstage/config/source.rs
+++ b/src/bin/heronstage/config/source.rs
@@ -1,6 +1,7 @@
 //! Where a configuration comes from: a file, over it the environment, over that the command line's flags.
 
 use super::check::{self, Mistake};
+use super::form::Form;
 use super::guide::{self, Kind};
 use super::{platform, Config, Fault};
 use figment::providers::{Env, Serialized};
@@ -29,8 +30,15 @@
 pub enum Source {
     /// The file that `RELAY_CONFIG` names, as the platform writes it.
     Platform,
-    /// A file of either form, with keys set by flags.
-    File { path: PathBuf, set: Vec<(String, String)> },
+    /// A file that was named.
+    Named(Named),
+}
+
+/// A file of either form, with keys set by flags.
+#[derive(Clone, Debug)]
+pub struct Named {
+    pub path: PathBuf,
+    pub set: Vec<(String, String)>,
 }
 
 /// A configuration's keys, each with its value and where that comes from.
@@ -43,87 +51,69 @@
     lines: BTreeMap<String, usize>,
 }
 
+/// What a named file is found to be.
+enum Opened {
+    Platform(Document, String),
+    People(Box<Layers>),
+}
+
 impl Source {
     /// Reads it. An error has a line for each mistake.
     pub fn load(&self) -> Result<Config, String> {
-        match self {
+        let named = match self {
             Source::Platform => {
                 let path = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_owned())?;
                 let text = read(Path::new(&path)).map_err(|e| format!("RELAY_CONFIG {path}: {e}"))?;
-                on_platform(&text)
-            }
-            Source::File { path, set } => {
-                let text = read(path).map_err(|e| format!("{}: {e}", path.display()))?;
-                let document = Document::parse(path, &text).map_err(lines)?;
-                if document.kind() == Kind::Platform {
-                    return on_platform(&text);
-                }
-                let layers = Layers::new(document, set).map_err(|mistake| lines(vec![mistake]))?;
-                let mistakes = layers.mistakes();
-                if !mistakes.is_empty() {
-                    return Err(lines(mistakes));
-                }
-                let form =
-                    guide::form(layers.value.clone()).map_err(|e| format!("{}: {e}", path.display()))?;
-                Config::resolve(form, layers.value)
+                return on_platform(&text);
             }
+            Source::Named(named) => named,
+        };
+        match named.open().map_err(lines)? {
+            Opened::Platform(_, text) => on_platform(&text),
+            Opened::People(layers) => Config::resolve(layers.form()?, layers.value),
         }
     }
+}
+
+impl Named {
+    fn open(&self) -> Result<Opened, Vec<Mistake>> {
+        let text = read(&self.path).map_err(|e| vec![misplaced(self.path.display(), e)])?;
+        let document = Document::parse(&self.path, &text)?;
+        Ok(match document.kind() {
+            Kind::Platform => Opened::Platform(document, text),
+            Kind::Form => {
+                let layers = Layers::new(document, &self.set).map_err(|mistake| vec![mistake])?;
+                Opened::People(Box::new(layers))
+            }
+        })
+    }
 
     /// All that is wrong with it.
     pub fn mistakes(&self) -> Vec<Mistake> {
-        let (path, set) = match self {
-            Source::Platform => match std::env::var("RELAY_CONFIG") {
-                Ok(path) => (PathBuf::from(path), &Vec::new()),
-                Err(_) => return vec![misplaced("environment", "RELAY_CONFIG is not set")],
-            },
-            Source::File { path, set } => (path.clone(), set),
-        };
-        let text = match read(&path) {
-            Ok(text) => text,
-            Err(e) => return vec![misplaced(path.display(), e)],
-        };
-        let document = match Document::parse(&path, &text) {
-            Ok(document) => document,
-            Err(mistakes) => return mistakes,
-        };
-        match document.kind() {
-            Kind::Platform => {
-                let faults = check::examine(&document.value, Kind::Platform);
-                faults
-                    .into_iter()
-                    .map(|fault| Mistake { place: document.place(fault.path()), fault })
-                    .collect()
+        match self.open() {
+            Ok(Opened::Platform(document, _)) => {
+                let faults = check::examine(&document.value, Kind::Platform).into_iter();
+                faults.map(|fault| Mistake { place: document.place(fault.path()), fault }).collect()
             }
-            Kind::Form => match Layers::new(document, set) {
-                Ok(layers) => layers.mistakes(),
-                Err(mistake) => vec![mistake],
-            },
+            Ok(Opened::People(layers)) => layers.mistakes(),
+            Err(mistakes) => mistakes,
         }
     }
 
     /// What holds, and where each value comes from.
     pub fn show(&self) -> Result<Shown, String> {
-        let Source::File { path, set } = self else { return Err("a file for people is needed".to_owned()) };
-        let text = read(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let document = Document::parse(path, &text).map_err(lines)?;
-        if document.kind() == Kind::Platform {
-            return Err(format!("{}: a platform's file has one layer: itself", path.display()));
-        }
-        let layers = Layers::new(document, set).map_err(|mistake| lines(vec![mistake]))?;
-        let mistakes = layers.mistakes();
-        if !mistakes.is_empty() {
-            return Err(lines(mistakes));
-        }
-        let form = guide::form(layers.value.clone()).map_err(|e| e.to_string())?;
-        let value = serde_json::to_value(form).map_err(|e| e.to_string())?;
+        let layers = match self.open().map_err(lines)? {
+            Opened::People(layers) => layers,
+            Opened::Platform(document, _) => {
+                let path = document.path.display();
+                return Err(format!("{path}: a platform's file has one layer: itself"));
+            }
+        };
+        let value = serde_json::to_value(layers.form()?).map_err(|e| e.to_string())?;
         let mut shown = Vec::new();
         leaves("", &value, &mut |key, value| {
-            shown.push((
-                key.to_owned(),
-                value.clone(),
-                layers.origin(key).unwrap_or_else(|| "default".to_owned()),
-            ));
+            let from = layers.origin(key).unwrap_or_else(|| "default".to_owned());
+            shown.push((key.to_owned(), value.clone(), from));
         });
         Ok(Shown(shown))
     }
@@ -432,6 +422,15 @@
         Ok(Layers { document, figment, value })
     }
 
+    /// The form, of layers without a mistake.
+    fn form(&self) -> Result<Form, String> {
+        let mistakes = self.mistakes();
+        if !mistakes.is_empty() {
+            return Err(lines(mistakes));
+        }
+        guide::form(self.value.clone()).map_err(|e| format!("{}: {e}", self.document.path.display()))
+    }
+
     fn mistakes(&self) -> Vec<Mistake> {
         let faults = check::examine(&self.value, Kind::Form);
         faults.into_iter().map(|fault| Mistake { place: self.place(fault.path()), fault }).collect()
--- a/src/bin/heronstage/gateway.rs
+++ b/src/bin/heronstage/gateway.rs
@@ -127,18 +127,15 @@
         let beside = Beside::new(folder.into(), seed, sockets, reserved, free, later.clone(), driver.clone());
         tokio::task::spawn_local(beside.run());
     }
-    let server = {
-        let names = logs::Names::new(config.logs.customers);
-        Server::new(driver.clone(), tables, figures.clone(), names, budget, free.clone())
-    };
+    let named = logs::Names::new(config.logs.customers);
+    let server = Server::new(driver.clone(), tables, figures.clone(), named, budget, free.clone());
     let cluster = Cluster::new(driver.clone(), config.seed, shared, server.drains());
     let joins = cluster.prepare(config.cluster.clone())?;
     let (name, descriptors) = (config.name.clone(), config.sockets);
     let reloads = Reloads { source, config: config.into(), moves, figures: figures.clone() };
-    let (server_too, cluster_too) = (server.clone(), cluster.clone());
     let desk = Rc::new(Desk {
-        server: server_too,
-        cluster: cluster_too,
+        server: server.clone(),
+        cluster: cluster.clone(),
         figures,
         log,
         reloads,
--- a/src/bin/heronstage/operator.rs
+++ b/src/bin/heronstage/operator.rs
@@ -2,12 +2,12 @@
 
 use crate::cluster::Cluster;
 use crate::config::Changes;
-use crate::figures::Figures;
+use crate::figures::{Figures, Present};
 use crate::gateway::Reloads;
 use crate::logs::{self, Log};
 use crate::seldom::{seldom, Seldom};
 use crate::server::Server;
-use crate::status::{Phase, Process, Servers, Status};
+use crate::status::{Process, Servers, Status};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -61,23 +61,22 @@
     }
 
     fn status(&self) -> Status {
-        let mut status = Status {
+        let Present { open, connections, listed, avoided } = self.server.present();
+        Status {
             name: self.name.clone(),
             version: env!("CARGO_PKG_VERSION").to_owned(),
             pid: std::process::id(),
             uptime_s: self.started.elapsed().as_secs_f64(),
-            phase: Phase::Unready,
-            connections: 0,
-            open_requests: 0,
-            relayed: 0,
-            classes: Vec::new(),
-            refusals: Default::default(),
-            servers: Servers { listed: 0, avoided: 0 },
+            phase: self.server.phase(),
+            connections,
+            open_requests: open,
+            relayed: self.figures.relayed_total(),
+            classes: self.figures.classes(),
+            refusals: self.figures.refusals(),
+            servers: Servers { listed, avoided },
             members: self.cluster.members(),
             process: Process::now(self.descriptors),
-        };
-        self.server.describe(&mut status);
-        status
+        }
     }
 }
 
--- a/src/bin/heronstage/remote.rs
+++ b/src/bin/heronstage/remote.rs
@@ -1,7 +1,7 @@
 //! Calls to a running gateway at its operators' address, as a person makes them from a shell.
 
 use crate::cli::{Call, Configuration, Drain, Exit};
-use crate::config::{self, Changes, Shown, Source};
+use crate::config::{self, Changes, Named, Shown};
 use crate::status::{Phase, Status};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -288,8 +288,8 @@
 }
 
 /// `check`
-pub fn check(source: &Source) -> Outcome {
-    let mistakes = source.mistakes();
+pub fn check(file: &Named) -> Outcome {
+    let mistakes = file.mistakes();
     if mistakes.is_empty() {
         return made("no mistake\n");
     }
@@ -304,7 +304,7 @@
         Configuration::Example => made(config::example()),
         Configuration::Keys => made(config::keys()),
         Configuration::Show { layers, json } => {
-            let shown = Source::from(layers).show().map_err(|why| Failure { exit: Exit::Bad, why })?;
+            let shown = Named::from(layers).show().map_err(|why| Failure { exit: Exit::Bad, why })?;
             let Shown(keys) = shown;
             if json {
                 let row = |(key, value, from)| serde_json::json!({"key": key, "value": value, "from": from});
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -7,7 +7,7 @@
 use crate::logs::{Names, REQUEST};
 use crate::room::{Budget, Content, More, Part, Short, Upload, BODY_MOST, HELD_MOST};
 use crate::seldom::{seldom, Seldom};
-use crate::status::{Phase, Servers, Status};
+use crate::status::Phase;
 use crate::tables::{Class, Tables};
 use bytes::{Bytes, BytesMut};
 use cherrytally::RequestId;
@@ -323,21 +323,14 @@
         Present { open: self.open.get(), connections: self.connections.get(), listed, avoided }
     }
 
-    /// The part of the process's status that lies with clients and servers.
-    pub fn describe(&self, status: &mut Status) {
-        let (listed, avoided) = self.driver.listed();
-        status.phase = match *self.drain.borrow() {
+    /// Whether clients are to come, and if not why.
+    pub fn phase(&self) -> Phase {
+        match *self.drain.borrow() {
             Drain::No if self.driver.ready() => Phase::Ready,
             Drain::No => Phase::Unready,
             Drain::Until(_) => Phase::Draining,
             Drain::Ends(_) => Phase::Ending,
-        };
-        status.connections = self.connections.get();
-        status.open_requests = self.open.get();
-        status.relayed = self.figures.relayed_total();
-        status.classes = self.figures.classes();
-        status.refusals = self.figures.refusals();
-        status.servers = Servers { listed, avoided };
+        }
     }
 
     /// To hear of drains.
@@ -385,7 +378,7 @@
 
     /// True if clients are to come.
     pub fn ready(&self) -> bool {
-        self.driver.ready() && self.drain.borrow().closes().is_none()
+        self.phase() == Phase::Ready
     }
 
     /// True while a request has no answer.
