Add custody of work as a protocol without I/O, model-checked; no gateway uses it yet

Need: what a lost gateway had in hand is gone, and a client may not ask again for an order without risking a second one. Before any socket is opened for it, the rule that it runs once has to be safe under pauses of any length. Change: src/custody/: keepers by rendezvous hashing in different zones, terms that no two processes share, claims accepted once by a quorum, readings under a higher term, facts that hold whoever tells them, keepers that have no vote after a restart. What too few accepted is known never to have been written. Nothing in src/bin uses it. Not taken: leases or clocks for the owner's right (a pause between check and write breaks them); numbers of attempts over all terms (what is told of one could be taken for another).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 //! ```
 
 mod choice;
+pub mod custody;
 pub mod interface;
 pub mod membership;
 mod message;
