Lock the stage's list before an agent at every place, by one function

Need: a gateway that asks the stage's discovery for the whole list locked its agent before the list, and what writes a gateway's configuration or serves a watch locked the list before the agent: two threads could wait for each other. Change: discovery's Seat::has is the one place that takes both; its three callers had a copy each. At fault: serve in lab/src/stage/discovery.rs. Found by reading; no run was seen to hang.

--- a/lab/src/stage/discovery.rs
+++ b/lab/src/stage/discovery.rs
@@ -35,6 +35,12 @@
         self.agents[gateway].lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// The version that one gateway's agent has now, and when it has more. The list is always locked before an agent.
+    pub fn has(&self, world: &World, gateway: usize) -> (usize, Option<f64>) {
+        let (registry, mut agent) = (world.registry(), self.agent(gateway));
+        (agent.has(&registry, world.now()), agent.next(&registry))
+    }
+
     /// Agents have fallen silent.
     pub fn silenced(&self) {
         self.silenced.send_modify(|times| *times += 1);
@@ -75,7 +81,7 @@
                 let index = query.split('&').find_map(|part| part.strip_prefix("index=")?.parse().ok());
                 return self.watch(world, gateway, index.unwrap_or(0), http).await;
             }
-            let version = self.agent(gateway).has(&world.registry(), world.now());
+            let (version, _) = self.has(world, gateway);
             let text = object(world, gateway, version, true, &world.registry().whole(version));
             if http.write(&answer(200, "", &text)).await.is_err() {
                 return;
@@ -95,10 +101,7 @@
             while world.links.on(Node::Discovery, Node::Gateway(gateway), world.now()).cut {
                 world.sleep_until(world.now() + LOOK_S).await;
             }
-            let (has, next) = {
-                let (registry, mut agent) = (world.registry(), self.agent(gateway));
-                (agent.has(&registry, world.now()), agent.next(&registry))
-            };
+            let (has, next) = self.has(world, gateway);
             let line = if has > version || !begun {
                 // A version that this discovery never had gets the whole list.
                 let whole = version > has;
--- a/lab/src/stage/gateways.rs
+++ b/lab/src/stage/gateways.rs
@@ -133,11 +133,9 @@
 
     fn config(&self, world: &World, operator: SocketAddr) -> Value {
         let (plan, place) = (&world.plan, self.place);
-        let known = {
-            let (registry, mut agent) = (world.registry(), world.discovery.agent(place));
-            let version = agent.has(&registry, world.now());
-            object(world, place, version, true, &registry.whole(version))
-        };
+        let (version, _) = world.discovery.has(world, place);
+        let whole = world.registry().whole(version);
+        let known = object(world, place, version, true, &whole);
         let known: Value = serde_json::from_str(&known).unwrap_or(Value::Null);
         let class = |number: usize, effect: &str, value: f64, late: f64| {
             json!({"name": CLASSES[number], "aim-ms": AIM_MS, "give-up-ms": DEADLINES_MS[number], "value": value,
