Read a request's number and make a link's fault in one place each, in the stage

Need: the number of a work was taken out of a request's number twice, a vanished machine's cut was built as a plan's step with ends that meant nothing, and Ledger::runs_by_txn was called by nobody. Change: work_of beside txn serves ledger and servers; what a fault does is a type of its own, which plans and vanished machines both make; the dead function is gone. Behaviour is as it was; no test changed.

--- a/lab/src/fault.rs
+++ b/lab/src/fault.rs
@@ -65,10 +65,8 @@
     }
 }
 
+#[derive(Clone, Copy)]
 struct Rule {
-    key: u64,
-    from: HashSet<Node>,
-    to: HashSet<Node>,
     act: LinkAct,
     by: f64,
     spread: f64,
@@ -76,10 +74,18 @@
     since: f64,
 }
 
+/// A rule and the links on which it holds.
+struct Placed {
+    key: u64,
+    from: HashSet<Node>,
+    to: HashSet<Node>,
+    rule: Rule,
+}
+
 /// What is wrong with links now.
 #[derive(Default)]
 pub struct Links {
-    rules: RwLock<Vec<Rule>>,
+    rules: RwLock<Vec<Placed>>,
     keys: AtomicU64,
 }
 
@@ -104,9 +110,10 @@
         let (from, to): (Vec<Node>, Vec<Node>) = (nodes(&on.from), nodes(&on.to));
         let others = from.iter().chain(&to).filter(|node| !matches!(node, Node::Gateway(_)));
         let touches = others.copied().collect();
-        let mut keys = vec![self.rule(from.clone(), to.clone(), on, now)];
+        let rule = Rule { act: on.act, by: on.by, spread: on.spread, grows: on.grows, since: now };
+        let mut keys = vec![self.rule(&from, &to, rule)];
         if on.both {
-            keys.push(self.rule(to, from, on, now));
+            keys.push(self.rule(&to, &from, rule));
         }
         Fault { keys, touches }
     }
@@ -114,25 +121,15 @@
     /// Nothing passes between one and all gateways, either way.
     pub fn cut_off(&self, node: Node, gateways: usize, now: f64) -> Fault {
         let all: Vec<_> = (0..gateways).map(Node::Gateway).collect();
-        let end = |kind| crate::plan::End { kind, who: crate::plan::Who::All };
-        let on = OnLink {
-            from: end(Kind::Gateways),
-            to: end(Kind::Gateways),
-            both: true,
-            act: LinkAct::Cut,
-            by: 0.0,
-            spread: 0.0,
-            grows: 0.0,
-        };
-        let keys = vec![self.rule(all.clone(), vec![node], &on, now), self.rule(vec![node], all, &on, now)];
+        let cut = Rule { act: LinkAct::Cut, by: 0.0, spread: 0.0, grows: 0.0, since: now };
+        let keys = vec![self.rule(&all, &[node], cut), self.rule(&[node], &all, cut)];
         Fault { keys, touches: vec![node] }
     }
 
-    fn rule(&self, from: Vec<Node>, to: Vec<Node>, on: &OnLink, since: f64) -> u64 {
+    fn rule(&self, from: &[Node], to: &[Node], rule: Rule) -> u64 {
         let key = self.keys.fetch_add(1, Ordering::Relaxed);
-        let (from, to) = (from.into_iter().collect(), to.into_iter().collect());
-        let rule = Rule { key, from, to, act: on.act, by: on.by, spread: on.spread, grows: on.grows, since };
-        self.rules.write().unwrap_or_else(|e| e.into_inner()).push(rule);
+        let (from, to) = (from.iter().copied().collect(), to.iter().copied().collect());
+        self.rules.write().unwrap_or_else(|e| e.into_inner()).push(Placed { key, from, to, rule });
         key
     }
 
@@ -146,7 +143,8 @@
     pub fn on(&self, from: Node, to: Node, now: f64) -> Effect {
         let rules = self.rules.read().unwrap_or_else(|e| e.into_inner());
         let mut effect = Effect::NONE;
-        for rule in rules.iter().filter(|rule| rule.from.contains(&from) && rule.to.contains(&to)) {
+        let holds = |placed: &&Placed| placed.from.contains(&from) && placed.to.contains(&to);
+        for Placed { rule, .. } in rules.iter().filter(holds) {
             let either = |a: f64, b: f64| 1.0 - (1.0 - a) * (1.0 - b);
             match rule.act {
                 LinkAct::Cut => effect.cut = true,
--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -2,13 +2,17 @@
 //! sent, began and finished, and what happened meanwhile.
 
 use crate::model::front::Arrival;
-use std::collections::HashMap;
 
 /// A request's number on the wire: the work's number and that of its try.
 pub fn txn(work: usize, attempt: u32) -> u64 {
     ((work as u64) << 8) | u64::from(attempt.min(255))
 }
 
+/// The work of a request's number, if it is one of so many.
+pub fn work_of(txn: u64, works: usize) -> Option<usize> {
+    usize::try_from(txn >> 8).ok().filter(|work| *work < works)
+}
+
 /// How a try ended, as its client saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -177,14 +181,7 @@
 
     /// The work of a request's number, if a client could have sent it.
     pub fn work_of(&self, txn: u64) -> Option<usize> {
-        usize::try_from(txn >> 8).ok().filter(|work| *work < self.works.len())
-    }
-
-    /// Attempts by request.
-    pub fn runs_by_txn(&self) -> HashMap<u64, Vec<&Run>> {
-        let mut by: HashMap<u64, Vec<&Run>> = HashMap::new();
-        self.runs.iter().for_each(|run| by.entry(run.txn).or_default().push(run));
-        by
+        work_of(txn, self.works.len())
     }
 
     /// For each work the first good answer: when it came.
--- a/lab/src/stage/mod.rs
+++ b/lab/src/stage/mod.rs
@@ -267,10 +267,6 @@
         self.plan.rng(stream).next_u64()
     }
 
-    fn work_of(&self, txn: u64) -> usize {
-        usize::try_from(txn >> 8).unwrap_or(usize::MAX)
-    }
-
     fn process(&self, gateway: usize) -> u64 {
         self.gateways[gateway].number()
     }
--- a/lab/src/stage/servers.rs
+++ b/lab/src/stage/servers.rs
@@ -1,7 +1,7 @@
 //! Servers: the model behind real sockets.
 
 use crate::fault::{Fault, Node};
-use crate::ledger::{Fate, Run, Standing};
+use crate::ledger::{work_of, Fate, Run, Standing};
 use crate::model::registry::State;
 use crate::model::server::{Server, Trouble, Verdict};
 use crate::stage::wire::{answer, Door, Http, Io};
@@ -230,7 +230,7 @@
                 }
                 continue;
             }
-            let work = head.txn.and_then(|txn| Some((txn, *world.works.get(world.work_of(txn))?)));
+            let work = head.txn.and_then(|txn| Some((txn, world.works[work_of(txn, world.works.len())?])));
             let Some((txn, arrival)) = work else {
                 world.ledger().strays += 1;
                 let _ = http.write(&answer(404, "", "no such request\n")).await;
