--- /dev/null
+++ b/overland/src/agreement/letter.rs
@@ -0,0 +1,172 @@
+//! What members of the core write to each other.
+
+use prost::{Message, Oneof};
+
+/// An entry of the log.
+#[derive(Clone, PartialEq, Message)]
+pub struct Entry {
+    /// Its number, from 1.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// The term of the leader that wrote it.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// The change, as whoever applies it reads it. Empty in entries of the agreement's own.
+    #[prost(bytes = "vec", tag = "3")]
+    pub data: Vec<u8>,
+    /// The members from here on, where they change.
+    #[prost(string, repeated, tag = "4")]
+    pub new_members: Vec<String>,
+}
+
+impl Entry {
+    pub(super) fn data(term: u64, index: u64, data: Vec<u8>) -> Self {
+        Entry { index, term, data, new_members: Vec::new() }
+    }
+
+    pub(super) fn empty(term: u64, index: u64) -> Self {
+        Entry::data(term, index, Vec::new())
+    }
+
+    pub(super) fn of_members(term: u64, index: u64, new_members: Vec<String>) -> Self {
+        Entry { index, term, data: Vec::new(), new_members }
+    }
+
+    pub(super) fn members(&self) -> Option<&[String]> {
+        (!self.new_members.is_empty()).then_some(&self.new_members[..])
+    }
+}
+
+/// A letter.
+#[derive(Clone, PartialEq, Message)]
+pub struct Letter {
+    /// What it says.
+    #[prost(oneof = "Say", tags = "1, 2, 3, 4, 5, 6")]
+    pub say: Option<Say>,
+}
+
+/// What a letter says.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Say {
+    /// Would you vote for me, or: do.
+    #[prost(message, tag = "1")]
+    VoteAsk(VoteAsk),
+    /// The answer.
+    #[prost(message, tag = "2")]
+    Vote(Vote),
+    /// Entries, or a sign of life.
+    #[prost(message, tag = "3")]
+    Append(Append),
+    /// The answer.
+    #[prost(message, tag = "4")]
+    Appended(Appended),
+    /// A state, where the log no longer reaches back.
+    #[prost(message, tag = "5")]
+    Install(Install),
+    /// The leader of this term names its successor.
+    #[prost(uint64, tag = "6")]
+    Succeed(u64),
+}
+
+/// Asks for a vote.
+#[derive(Clone, PartialEq, Message)]
+pub struct VoteAsk {
+    /// The term to lead in.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// The number of one's last entry.
+    #[prost(uint64, tag = "2")]
+    pub last: u64,
+    /// Its term.
+    #[prost(uint64, tag = "3")]
+    pub last_term: u64,
+    /// Only whether.
+    #[prost(bool, tag = "4")]
+    pub pre: bool,
+    /// The leader named the one who asks.
+    #[prost(bool, tag = "5")]
+    pub named: bool,
+}
+
+/// A vote.
+#[derive(Clone, PartialEq, Message)]
+pub struct Vote {
+    /// The term that was asked for, or one's own where it is refused.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Yes.
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+    /// Only whether.
+    #[prost(bool, tag = "3")]
+    pub pre: bool,
+}
+
+/// Entries of the log.
+#[derive(Clone, PartialEq, Message)]
+pub struct Append {
+    /// The leader's term.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// The number before the first entry.
+    #[prost(uint64, tag = "2")]
+    pub prev: u64,
+    /// Its term.
+    #[prost(uint64, tag = "3")]
+    pub prev_term: u64,
+    /// The entries.
+    #[prost(message, repeated, tag = "4")]
+    pub entries: Vec<Entry>,
+    /// The number of the last entry that is agreed on.
+    #[prost(uint64, tag = "5")]
+    pub commit: u64,
+    /// Who holds all this has forgotten nothing: its word counts.
+    #[prost(bool, tag = "6")]
+    pub counts: bool,
+    /// When it was sent, by the leader's clock, in ms.
+    #[prost(double, tag = "7")]
+    pub at: f64,
+}
+
+/// The answer to entries or a state.
+#[derive(Clone, PartialEq, Message)]
+pub struct Appended {
+    /// The term of who answers.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Taken, and on disk.
+    #[prost(bool, tag = "2")]
+    pub ok: bool,
+    /// The log is the leader's up to this number; where it was not taken, up to here it may be.
+    #[prost(uint64, tag = "3")]
+    pub matched: u64,
+    /// Its word counts.
+    #[prost(bool, tag = "4")]
+    pub counts: bool,
+    /// When what it answers was sent, by the leader's clock.
+    #[prost(double, tag = "5")]
+    pub at: f64,
+}
+
+/// A state.
+#[derive(Clone, PartialEq, Message)]
+pub struct Install {
+    /// The leader's term.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// The number of the last entry in it.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// Its term.
+    #[prost(uint64, tag = "3")]
+    pub last_term: u64,
+    /// The members then.
+    #[prost(string, repeated, tag = "4")]
+    pub members: Vec<String>,
+    /// The state.
+    #[prost(bytes = "vec", tag = "5")]
+    pub state: Vec<u8>,
+    /// When it was sent, by the leader's clock, in ms.
+    #[prost(double, tag = "6")]
+    pub at: f64,
+}
--- /dev/null
+++ b/overland/src/agreement/mod.rs
@@ -0,0 +1,697 @@
+//! Agreement of the core: one log of changes in the same order at all its members. Raft (Ongaro and Ousterhout,
+//! 2014) with its pre-vote, its check of the leader's quorum and its single-server changes of members, and three
+//! rules more: a member with an empty disk votes and counts only once a leader has brought it up to date; a leader
+//! that is told its disk is slow names a successor; a lease by the steady clock tells who may answer for all.
+//!
+//! No socket, clock, disk or random source but what it is given: time and letters come in as [`Event`]s, what is to
+//! be saved, sent and applied goes out as [`Action`]s, to be carried out in order. What is saved must be on disk
+//! before the actions behind it are carried out. `docs/system/agreement.md` states what it promises.
+
+mod letter;
+mod role;
+
+pub use letter::{Entry, Letter, Say};
+
+use cherrytally::Millis;
+use letter::{Append, Appended, Install, Vote, VoteAsk};
+use role::{Follow, Lead, Progress, Role};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A member's name.
+pub type Name = String;
+
+/// A leader speaks up at least so often, in ms.
+const HEARTBEAT_MS: f64 = 100.0;
+/// Without a word of a leader for between so long, in ms, a member wants to lead. Between zones of one region a word
+/// takes 1 ms, between regions 50; a process may be kept from its processor for some hundred.
+const ELECTION_MS: (f64, f64) = (700.0, 1200.0);
+/// A leader may answer for all for so long after it sent what a majority has answered, in ms. Members vote for no other
+/// before the least time above: the difference is for clocks that run at different rates.
+const LEASE_MS: f64 = 550.0;
+/// An empty disk may have forgotten a vote: its member votes for nobody for so long after its start, in ms. Old
+/// letters are answered or lost by then.
+const FORGOTTEN_MS: f64 = 3000.0;
+/// Entries in one letter at most, and their bytes.
+const BATCH: (usize, usize) = (256, 512 * 1024);
+/// Unanswered letters with entries are sent again after so long, in ms.
+const AGAIN_MS: f64 = 300.0;
+/// A member that said nothing for so long, in ms, may be replaced by one that waits to join.
+const LOST_MS: f64 = 9000.0;
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A letter came.
+    Heard {
+        /// Who sent it.
+        from: Name,
+        /// What it says.
+        say: Say,
+    },
+    /// A change is wanted. Only a leader takes it.
+    Propose(Vec<u8>),
+    /// Another process wants to be a member.
+    Join(Name),
+    /// Somebody else should lead: the process ends, or its disk is slow.
+    Resign,
+}
+
+/// What is to be done, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Bring to disk before all that follows.
+    Save(Save),
+    /// Send a letter. It may be lost.
+    Send {
+        /// To whom.
+        to: Name,
+        /// What it says.
+        say: Say,
+    },
+    /// This entry is agreed on: apply it.
+    Apply(Entry),
+    /// The state of others replaces one's own.
+    Restore {
+        /// The number of the last change in it.
+        index: u64,
+        /// The state.
+        state: Vec<u8>,
+    },
+    /// This process leads from now on, or no longer.
+    Leads(bool),
+}
+
+/// What is to be brought to disk.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Save {
+    /// Term, vote and whether its word counts.
+    pub vow: Vow,
+    /// From this number on the log is replaced by these entries; none if it stays as it is.
+    pub entries: Option<(u64, Vec<Entry>)>,
+    /// The log begins anew behind this state.
+    pub base: Option<Base>,
+}
+
+/// What a member must not forget.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Vow {
+    /// The latest term it has heard of.
+    pub term: u64,
+    /// Whom it voted for in that term.
+    pub vote: Option<Name>,
+    /// Its votes and copies count.
+    pub counts: bool,
+}
+
+/// Where a log begins.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Base {
+    /// The number of the last entry that is no longer in the log.
+    pub index: u64,
+    /// Its term.
+    pub term: u64,
+    /// The members then.
+    pub members: Vec<Name>,
+    /// The state then.
+    pub state: Vec<u8>,
+}
+
+/// What a disk held at a start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Saved {
+    /// Term and vote.
+    pub vow: Vow,
+    /// Where the log begins.
+    pub base: Base,
+    /// The log.
+    pub entries: Vec<Entry>,
+}
+
+/// One member.
+pub struct Agreement {
+    me: Name,
+    vow: Vow,
+    base: Base,
+    log: VecDeque<Entry>,
+    /// The number of the last entry that is agreed on.
+    commit: u64,
+    applied: u64,
+    role: Role,
+    /// When a leader was last heard of.
+    heard: Millis,
+    /// When it wants to lead if none is heard of.
+    election: Millis,
+    /// Before that it votes for nobody.
+    forgotten_until: Millis,
+    rng: fastrand::Rng,
+}
+
+impl Agreement {
+    /// The members that found the system: all of them know all of them.
+    pub fn found(mut members: Vec<Name>) -> Saved {
+        members.sort();
+        members.dedup();
+        let vow = Vow { counts: true, ..Vow::default() };
+        Saved { vow, base: Base { members, ..Base::default() }, entries: Vec::new() }
+    }
+
+    /// A member as its disk has it. One with an empty disk knows no members and counts for nothing.
+    pub fn new(me: Name, saved: Saved, seed: u64, now: Millis) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let Saved { vow, base, entries } = saved;
+        let empty = !vow.counts;
+        Agreement {
+            me,
+            commit: base.index,
+            applied: base.index,
+            vow,
+            base,
+            log: entries.into(),
+            role: Role::Follower(Follow { leader: None }),
+            heard: f64::NEG_INFINITY,
+            election: now + ELECTION_MS.0 * 0.5 * (1.0 + rng.f64()),
+            forgotten_until: if empty { now + FORGOTTEN_MS } else { now },
+            rng,
+        }
+    }
+
+    /// The latest term that it has heard of.
+    pub fn term(&self) -> u64 {
+        self.vow.term
+    }
+
+    /// Who leads, as far as it knows.
+    pub fn leader(&self) -> Option<&Name> {
+        match &self.role {
+            Role::Leader(_) => Some(&self.me),
+            Role::Follower(Follow { leader }) => leader.as_ref(),
+            Role::Candidate(_) => None,
+        }
+    }
+
+    /// Whether it leads.
+    pub fn leads(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Whether it leads, and no other can have led before now: it may answer for all.
+    pub fn vouches(&self, now: Millis) -> bool {
+        let Role::Leader(lead) = &self.role else { return false };
+        self.commit >= lead.first
+            && self.quorum(|name| lead.asked(name, &self.me, now)).is_some_and(|at| now - at < LEASE_MS)
+    }
+
+    /// The members, as the log has them.
+    pub fn members(&self) -> &[Name] {
+        self.log.iter().rev().find_map(|entry| entry.members()).unwrap_or(&self.base.members)
+    }
+
+    /// The number of the last entry that was applied.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Its votes and copies count.
+    pub fn counts(&self) -> bool {
+        self.vow.counts
+    }
+
+    /// Applied entries behind this number; none if the log no longer holds them all.
+    pub fn since(&self, index: u64) -> Option<impl Iterator<Item = &Entry>> {
+        let skip = index.checked_sub(self.base.index)? as usize;
+        let applied = (self.applied - self.base.index) as usize;
+        Some(self.log.iter().take(applied).skip(skip))
+    }
+
+    /// Entries that the log holds.
+    pub fn log_length(&self) -> usize {
+        self.log.len()
+    }
+
+    /// The log begins anew behind what is applied, which is this state.
+    pub fn compact(&mut self, state: Vec<u8>, actions: &mut Vec<Action>) {
+        let index = self.applied;
+        let term = self.term_at(index).unwrap_or(self.base.term);
+        let applied = (index - self.base.index) as usize;
+        let members = self.log.iter().take(applied).rev().find_map(|entry| entry.members());
+        let members = members.unwrap_or(&self.base.members).to_vec();
+        self.log.drain(..applied);
+        self.base = Base { index, term, members, state };
+        actions.push(Action::Save(Save {
+            vow: self.vow.clone(),
+            entries: None,
+            base: Some(self.base.clone()),
+        }));
+    }
+
+    /// Takes in one event and appends what is to be done.
+    pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.tick(now, actions),
+            Event::Heard { from, say } => self.hear(now, from, say, actions),
+            Event::Propose(data) => {
+                if self.leads() {
+                    self.append(now, Entry::data(self.vow.term, self.last() + 1, data), actions);
+                }
+            }
+            Event::Join(name) => self.join(now, name),
+            Event::Resign => self.resign(now, actions),
+        }
+    }
+
+    // ---- The log ------------------------------------------------------------------------------------------
+
+    /// The number of the last entry of the log.
+    pub fn last(&self) -> u64 {
+        self.base.index + self.log.len() as u64
+    }
+
+    fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        let at = index.checked_sub(self.base.index + 1)?;
+        self.log.get(at as usize).map(|entry| entry.term)
+    }
+
+    fn save(&self, entries: Option<(u64, Vec<Entry>)>, actions: &mut Vec<Action>) {
+        actions.push(Action::Save(Save { vow: self.vow.clone(), entries, base: None }));
+    }
+
+    fn append(&mut self, now: Millis, entry: Entry, actions: &mut Vec<Action>) {
+        self.log.push_back(entry.clone());
+        self.save(Some((entry.index, vec![entry])), actions);
+        self.advance(actions);
+        self.spread(now, false, actions);
+    }
+
+    fn apply(&mut self, actions: &mut Vec<Action>) {
+        while self.applied < self.commit {
+            let at = (self.applied - self.base.index) as usize;
+            let Some(entry) = self.log.get(at) else { return };
+            actions.push(Action::Apply(entry.clone()));
+            self.applied += 1;
+        }
+    }
+
+    // ---- Majorities ---------------------------------------------------------------------------------------
+
+    /// The least of what a majority of the members has, by what each of them has; none where too few count.
+    fn quorum<T: PartialOrd>(&self, of: impl Fn(&Name) -> Option<T>) -> Option<T> {
+        let members = self.members();
+        let mut have: Vec<T> = members.iter().filter_map(of).collect();
+        have.sort_by(|a, b| b.partial_cmp(a).unwrap_or(std::cmp::Ordering::Equal));
+        have.into_iter().nth(members.len() / 2)
+    }
+
+    fn others(&self) -> Vec<Name> {
+        self.members().iter().filter(|name| **name != self.me).cloned().collect()
+    }
+
+    fn is_member(&self) -> bool {
+        self.members().contains(&self.me)
+    }
+
+    // ---- Roles --------------------------------------------------------------------------------------------
+
+    /// The one place where the role changes.
+    fn become_role(&mut self, now: Millis, role: Role, actions: &mut Vec<Action>) {
+        let (led, leads) = (self.leads(), matches!(role, Role::Leader(_)));
+        self.role = role;
+        self.election = now + ELECTION_MS.0 + (ELECTION_MS.1 - ELECTION_MS.0) * self.rng.f64();
+        if led != leads {
+            actions.push(Action::Leads(leads));
+        }
+    }
+
+    fn follow(&mut self, now: Millis, term: u64, leader: Option<Name>, actions: &mut Vec<Action>) {
+        if term > self.vow.term {
+            (self.vow.term, self.vow.vote) = (term, None);
+            self.save(None, actions);
+        }
+        if leader.is_some() {
+            self.heard = now;
+        }
+        self.become_role(now, Role::Follower(Follow { leader }), actions);
+    }
+
+    fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        match &self.role {
+            Role::Leader(lead) => {
+                // Cut off from a majority it leads nobody, nor where the successor that it named did not come.
+                let heard = self.quorum(|name| lead.heard(name, &self.me, now));
+                let resigned = lead.resigned.is_some_and(|at| now - at > ELECTION_MS.0);
+                if resigned || heard.is_none_or(|at| now - at > ELECTION_MS.1) {
+                    let term = self.vow.term;
+                    return self.follow(now, term, None, actions);
+                }
+                self.replace(now, actions);
+                self.spread(now, true, actions);
+            }
+            _ if now >= self.election => self.campaign(now, true, false, actions),
+            _ => {}
+        }
+    }
+
+    /// Asks whether it would be voted for, and then for votes.
+    fn campaign(&mut self, now: Millis, pre: bool, named: bool, actions: &mut Vec<Action>) {
+        if !self.vow.counts || !self.is_member() {
+            let term = self.vow.term;
+            return self.follow(now, term, None, actions);
+        }
+        if !pre {
+            (self.vow.term, self.vow.vote) = (self.vow.term + 1, Some(self.me.clone()));
+            self.save(None, actions);
+        }
+        let votes = BTreeSet::from([self.me.clone()]);
+        self.become_role(now, Role::Candidate(role::Stand { pre, votes, named }), actions);
+        let term = self.vow.term + u64::from(pre);
+        let (last, last_term) = (self.last(), self.term_at(self.last()).unwrap_or(0));
+        for to in self.others() {
+            let say = Say::VoteAsk(VoteAsk { term, last, last_term, pre, named });
+            actions.push(Action::Send { to, say });
+        }
+        self.count_votes(now, actions);
+    }
+
+    fn count_votes(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let Role::Candidate(stand) = &self.role else { return };
+        let (pre, named) = (stand.pre, stand.named);
+        let votes = self.members().iter().filter(|name| stand.votes.contains(*name)).count();
+        if votes * 2 <= self.members().len() {
+            return;
+        }
+        if pre {
+            return self.campaign(now, false, named, actions);
+        }
+        let first = self.last() + 1;
+        let peers = self.others().into_iter().map(|name| (name, Progress::new(first, now))).collect();
+        self.become_role(
+            now,
+            Role::Leader(Lead { first, peers, joining: BTreeMap::new(), resigned: None }),
+            actions,
+        );
+        // What earlier terms left is agreed on with the first entry of one's own.
+        self.append(now, Entry::empty(self.vow.term, first), actions);
+    }
+
+    fn resign(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let last = self.last();
+        let Role::Leader(lead) = &mut self.role else { return };
+        let best =
+            lead.peers.iter().filter(|(_, p)| p.counts && p.matched == last && now - p.heard < LEASE_MS);
+        let best = best.max_by(|a, b| a.1.heard.total_cmp(&b.1.heard)).map(|(name, _)| name.clone());
+        // Where none is up to date a majority finds the next.
+        if let Some(to) = best {
+            lead.resigned = Some(now);
+            actions.push(Action::Send { to, say: Say::Succeed(self.vow.term) });
+        }
+    }
+
+    // ---- Letters ------------------------------------------------------------------------------------------
+
+    fn hear(&mut self, now: Millis, from: Name, say: Say, actions: &mut Vec<Action>) {
+        match say {
+            Say::VoteAsk(ask) => self.vote_asked(now, from, &ask, actions),
+            Say::Vote(vote) => {
+                if vote.term > self.vow.term && !vote.granted {
+                    return self.follow(now, vote.term, None, actions);
+                }
+                let term = self.vow.term;
+                if let Role::Candidate(stand) = &mut self.role {
+                    if vote.granted && vote.pre == stand.pre && vote.term == term + u64::from(stand.pre) {
+                        stand.votes.insert(from);
+                        self.count_votes(now, actions);
+                    }
+                }
+            }
+            Say::Append(append) => self.append_asked(now, from, append, actions),
+            Say::Appended(appended) => self.appended(now, from, &appended, actions),
+            Say::Install(install) => self.install(now, from, install, actions),
+            Say::Succeed(term) => {
+                let leader = self.leader() == Some(&from);
+                if term == self.vow.term && leader {
+                    self.campaign(now, false, true, actions);
+                }
+            }
+        }
+    }
+
+    fn vote_asked(&mut self, now: Millis, from: Name, ask: &VoteAsk, actions: &mut Vec<Action>) {
+        // While a leader is heard of nobody is voted for, unless that leader named its successor.
+        let led = self.leads() || now - self.heard < ELECTION_MS.0;
+        let barred = !self.vow.counts || now < self.forgotten_until || (led && !ask.named);
+        if !barred && !ask.pre && ask.term > self.vow.term {
+            self.follow(now, ask.term, None, actions);
+        }
+        let mine = (self.term_at(self.last()).unwrap_or(0), self.last());
+        let fresh = (ask.last_term, ask.last) >= mine;
+        let free = self.vow.vote.as_ref().is_none_or(|vote| *vote == from);
+        let granted = !barred
+            && fresh
+            && if ask.pre { ask.term > self.vow.term } else { ask.term == self.vow.term && free };
+        if granted && !ask.pre {
+            self.vow.vote = Some(from.clone());
+            self.save(None, actions);
+            let term = self.vow.term;
+            self.follow(now, term, None, actions);
+        }
+        let term = if granted { ask.term } else { self.vow.term };
+        actions.push(Action::Send { to: from, say: Say::Vote(Vote { term, granted, pre: ask.pre }) });
+    }
+
+    fn append_asked(&mut self, now: Millis, from: Name, append: Append, actions: &mut Vec<Action>) {
+        let mut answer = Appended {
+            term: self.vow.term,
+            ok: false,
+            matched: self.last(),
+            counts: self.vow.counts,
+            at: append.at,
+        };
+        if append.term < self.vow.term {
+            actions.push(Action::Send { to: from, say: Say::Appended(answer) });
+            return;
+        }
+        self.follow(now, append.term, Some(from.clone()), actions);
+        answer.term = self.vow.term;
+        let (mut prev, mut entries) = (append.prev, append.entries);
+        if prev < self.base.index {
+            // What lies before the base is agreed on and the same everywhere.
+            let known = (self.base.index - prev) as usize;
+            entries.drain(..known.min(entries.len()));
+            prev = self.base.index;
+        }
+        if prev == append.prev && self.term_at(prev) != Some(append.prev_term) {
+            // It has other entries there, or none: from where they may agree is told.
+            answer.matched = self.last().min(append.prev.saturating_sub(1));
+            actions.push(Action::Send { to: from, say: Say::Appended(answer) });
+            return;
+        }
+        let end = prev + entries.len() as u64;
+        let new = entries.iter().position(|entry| self.term_at(entry.index) != Some(entry.term));
+        if let Some(new) = new {
+            let entries = entries.split_off(new);
+            let first = entries[0].index;
+            self.log.truncate((first - self.base.index - 1) as usize);
+            self.log.extend(entries.iter().cloned());
+            self.save(Some((first, entries)), actions);
+        }
+        self.commit = self.commit.max(append.commit.min(end));
+        if append.counts && !self.vow.counts && self.commit >= append.commit {
+            // A leader says that nothing that is agreed on is missing here.
+            self.vow.counts = true;
+            self.save(None, actions);
+        }
+        (answer.ok, answer.matched, answer.counts) = (true, end, self.vow.counts);
+        actions.push(Action::Send { to: from, say: Say::Appended(answer) });
+        self.apply(actions);
+    }
+
+    fn install(&mut self, now: Millis, from: Name, install: Install, actions: &mut Vec<Action>) {
+        let mut answer = Appended {
+            term: self.vow.term,
+            ok: false,
+            matched: self.last(),
+            counts: self.vow.counts,
+            at: install.at,
+        };
+        if install.term >= self.vow.term {
+            self.follow(now, install.term, Some(from.clone()), actions);
+            let Install { index, last_term, members, state, .. } = install;
+            if index > self.commit {
+                self.log.clear();
+                self.base = Base { index, term: last_term, members, state: state.clone() };
+                (self.commit, self.applied) = (index, index);
+                let (vow, base) = (self.vow.clone(), Some(self.base.clone()));
+                actions.push(Action::Save(Save { vow, entries: Some((index + 1, Vec::new())), base }));
+                actions.push(Action::Restore { index, state });
+            }
+            (answer.term, answer.ok, answer.matched) = (self.vow.term, true, index);
+        }
+        actions.push(Action::Send { to: from, say: Say::Appended(answer) });
+    }
+
+    fn appended(&mut self, now: Millis, from: Name, answer: &Appended, actions: &mut Vec<Action>) {
+        if answer.term > self.vow.term {
+            return self.follow(now, answer.term, None, actions);
+        }
+        let (last, commit) = (self.last(), self.commit);
+        let Role::Leader(lead) = &mut self.role else { return };
+        if answer.term < self.vow.term {
+            return;
+        }
+        let first = lead.first;
+        let Some(progress) = lead.progress(&from) else { return };
+        (progress.heard, progress.asked) = (now, progress.asked.max(answer.at));
+        if progress.counts && !answer.counts {
+            // Its disk is new: what it held is gone.
+            (progress.matched, progress.welcome) = (0, false);
+        }
+        progress.counts = answer.counts;
+        if answer.ok {
+            progress.matched = progress.matched.max(answer.matched);
+            progress.next = progress.next.max(answer.matched + 1);
+            progress.out_since = (progress.matched + 1 < progress.next).then_some(now);
+        } else {
+            progress.next = (answer.matched + 1).min(last + 1).max(1);
+            progress.out_since = None;
+        }
+        // Before an entry of its own term is agreed on a leader does not know all that was.
+        progress.welcome |= progress.matched >= commit && commit >= first && answer.ok;
+        let more = progress.next <= last || !answer.ok || (progress.welcome && !progress.counts);
+        self.advance(actions);
+        if more {
+            self.speak(now, &from, actions);
+        }
+        self.admit(now, actions);
+    }
+
+    // ---- The leader ---------------------------------------------------------------------------------------
+
+    /// What a majority holds of this term is agreed on.
+    fn advance(&mut self, actions: &mut Vec<Action>) {
+        let last = self.last();
+        let Role::Leader(lead) = &self.role else { return };
+        let held = self.quorum(|name| {
+            if *name == self.me {
+                return self.vow.counts.then_some(last);
+            }
+            lead.peers.get(name).filter(|p| p.counts).map(|p| p.matched)
+        });
+        let Some(held) = held.filter(|held| *held > self.commit) else { return };
+        if self.term_at(held) == Some(self.vow.term) {
+            self.commit = held;
+            self.apply(actions);
+        }
+    }
+
+    /// Speaks to all that are due.
+    fn spread(&mut self, now: Millis, beat: bool, actions: &mut Vec<Action>) {
+        let Role::Leader(lead) = &self.role else { return };
+        let names: Vec<_> = lead.peers.keys().chain(lead.joining.keys()).cloned().collect();
+        for name in names {
+            let Role::Leader(lead) = &mut self.role else { return };
+            let Some(progress) = lead.progress(&name) else { continue };
+            let due = now - progress.sent >= HEARTBEAT_MS;
+            if due || !beat {
+                self.speak(now, &name, actions);
+            }
+        }
+    }
+
+    /// Sends one member what it lacks, or a sign of life.
+    fn speak(&mut self, now: Millis, to: &Name, actions: &mut Vec<Action>) {
+        let (term, commit, base) = (self.vow.term, self.commit, self.base.index);
+        let Role::Leader(lead) = &mut self.role else { return };
+        let Some(progress) = lead.progress(to) else { return };
+        if progress.next <= base {
+            if progress.out_since.is_some_and(|at| now - at < 5.0 * AGAIN_MS) {
+                return;
+            }
+            (progress.out_since, progress.sent) = (Some(now), now);
+            let Base { index, term: last_term, members, state } = self.base.clone();
+            let say = Say::Install(Install { term, index, last_term, members, state, at: now });
+            actions.push(Action::Send { to: to.clone(), say });
+            return;
+        }
+        if progress.out_since.is_some_and(|at| now - at > AGAIN_MS) {
+            (progress.next, progress.out_since) = (progress.matched + 1, None);
+        }
+        let prev = progress.next.max(base + 1) - 1;
+        let mut bytes = 0;
+        let entries: Vec<_> = self
+            .log
+            .iter()
+            .skip((prev - base) as usize)
+            .take(BATCH.0)
+            .take_while(|entry| {
+                let fits = bytes < BATCH.1;
+                bytes += entry.data.len();
+                fits
+            })
+            .cloned()
+            .collect();
+        (progress.next, progress.sent) = (prev + 1 + entries.len() as u64, now);
+        if !entries.is_empty() {
+            progress.out_since.get_or_insert(now);
+        }
+        let counts = progress.welcome;
+        let prev_term = self.term_at(prev).unwrap_or(0);
+        let say = Say::Append(Append { term, prev, prev_term, entries, commit, counts, at: now });
+        actions.push(Action::Send { to: to.clone(), say });
+    }
+
+    /// A process wants to be a member: it is sent the log first.
+    fn join(&mut self, now: Millis, name: Name) {
+        let first = self.last() + 1;
+        let known = self.members().contains(&name);
+        if let Role::Leader(lead) = &mut self.role {
+            if !known {
+                lead.joining.entry(name).or_insert_with(|| Progress::new(first, now));
+            }
+        }
+    }
+
+    /// Members change one at a time, and not before the last change is agreed on.
+    fn settled(&self) -> bool {
+        let Role::Leader(lead) = &self.role else { return false };
+        let pending = self.log.iter().rev().find(|entry| entry.members().is_some());
+        self.commit >= lead.first && pending.is_none_or(|entry| entry.index <= self.commit)
+    }
+
+    /// One that has caught up becomes a member.
+    fn admit(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let (commit, settled) = (self.commit, self.settled());
+        let Role::Leader(lead) = &mut self.role else { return };
+        let ready = lead.joining.iter().find(|(_, p)| p.counts && p.matched >= commit && settled);
+        let Some(name) = ready.map(|(name, _)| name.clone()) else { return };
+        if let Some(progress) = lead.joining.remove(&name) {
+            lead.peers.insert(name.clone(), progress);
+        }
+        let mut members = self.members().to_vec();
+        members.push(name);
+        self.change_members(now, members, actions);
+    }
+
+    /// One that was lost for long is left out where another came in its place: three remain at least.
+    fn replace(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if !self.settled() || self.members().len() <= 3 {
+            return;
+        }
+        let Role::Leader(lead) = &mut self.role else { return };
+        let lost = lead.peers.iter().find(|(_, p)| now - p.heard > LOST_MS).map(|(name, _)| name.clone());
+        if let Some(lost) = lost {
+            lead.peers.remove(&lost);
+            let members = self.members().iter().filter(|name| **name != lost).cloned().collect();
+            self.change_members(now, members, actions);
+        }
+    }
+
+    fn change_members(&mut self, now: Millis, mut members: Vec<Name>, actions: &mut Vec<Action>) {
+        members.sort();
+        let entry = Entry::of_members(self.vow.term, self.last() + 1, members);
+        self.append(now, entry, actions);
+    }
+}
--- /dev/null
+++ b/overland/src/agreement/role.rs
@@ -0,0 +1,88 @@
+//! What a member is to the others, and what a leader knows of each.
+
+use super::Name;
+use cherrytally::Millis;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A member's role.
+pub(super) enum Role {
+    Follower(Follow),
+    Candidate(Stand),
+    Leader(Lead),
+}
+
+/// It follows, perhaps a leader it knows.
+pub(super) struct Follow {
+    pub(super) leader: Option<Name>,
+}
+
+/// It wants to lead.
+pub(super) struct Stand {
+    /// It only asks whether it would be voted for.
+    pub(super) pre: bool,
+    pub(super) votes: BTreeSet<Name>,
+    /// The leader named it.
+    pub(super) named: bool,
+}
+
+/// It leads.
+pub(super) struct Lead {
+    /// The first entry of its term.
+    pub(super) first: u64,
+    pub(super) peers: BTreeMap<Name, Progress>,
+    /// Those that are sent the log and want to be members.
+    pub(super) joining: BTreeMap<Name, Progress>,
+    /// A successor is named: it answers for nobody any more.
+    pub(super) resigned: Option<Millis>,
+}
+
+impl Lead {
+    pub(super) fn progress(&mut self, name: &Name) -> Option<&mut Progress> {
+        self.peers.get_mut(name).or_else(|| self.joining.get_mut(name))
+    }
+
+    /// When a member was last heard.
+    pub(super) fn heard(&self, name: &Name, me: &Name, now: Millis) -> Option<Millis> {
+        if name == me {
+            return Some(now);
+        }
+        self.peers.get(name).map(|p| p.heard)
+    }
+
+    /// When the last letter that a member has answered was sent.
+    pub(super) fn asked(&self, name: &Name, me: &Name, now: Millis) -> Option<Millis> {
+        if self.resigned.is_some() {
+            return None;
+        }
+        if name == me {
+            return Some(now);
+        }
+        self.peers.get(name).filter(|p| p.counts).map(|p| p.asked)
+    }
+}
+
+/// What a leader knows of another member.
+pub(super) struct Progress {
+    /// The next entry to be sent to it.
+    pub(super) next: u64,
+    /// It holds the log up to this entry, on disk.
+    pub(super) matched: u64,
+    /// Its copies count: it has not forgotten.
+    pub(super) counts: bool,
+    /// It has all that was agreed on, so its word may count.
+    pub(super) welcome: bool,
+    /// Since when something is out that it has not answered.
+    pub(super) out_since: Option<Millis>,
+    pub(super) sent: Millis,
+    pub(super) heard: Millis,
+    /// When the last letter that it answered was sent.
+    pub(super) asked: Millis,
+}
+
+impl Progress {
+    pub(super) fn new(next: u64, now: Millis) -> Self {
+        let (matched, counts, welcome, out_since) = (0, false, false, None);
+        let (sent, heard, asked) = (f64::NEG_INFINITY, now, f64::NEG_INFINITY);
+        Progress { next, matched, counts, welcome, out_since, sent, heard, asked }
+    }
+}
--- /dev/null
+++ b/overland/src/calls.rs
@@ -0,0 +1,391 @@
+//! Calls of backends, operators and clients that ask where to go: each is a pair of types, a question and its answer,
+//! behind one handler.
+
+use crate::config::{Envelope, Invalid};
+use crate::control::Control;
+use crate::news::{Backend, Evacuated, Kind};
+use miniserde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+/// A call as it came.
+pub struct Called<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The path, with its query.
+    pub path: &'a str,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// An answer on the wire.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// The body: JSON.
+    pub body: String,
+    /// When to come back, in ms.
+    pub after_ms: Option<u64>,
+}
+
+/// Why a call is not granted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// It is wrong: a 4xx that ends it.
+    Bad(String),
+    /// Another version is in place.
+    Conflict(String),
+    /// Not known here.
+    Unknown,
+    /// The method is another.
+    Method,
+    /// Not now, or not known whether: the same call again finds out.
+    Later,
+}
+
+impl From<Invalid> for Refusal {
+    fn from(invalid: Invalid) -> Self {
+        Refusal::Bad(invalid.0)
+    }
+}
+
+#[derive(Serialize)]
+struct Wrong<'a> {
+    error: &'a str,
+}
+
+/// When a caller may come back, in ms.
+const LATER_MS: u64 = 200;
+
+impl Refusal {
+    fn reply(&self) -> Reply {
+        let (status, why) = match self {
+            Refusal::Bad(why) => (400, why.as_str()),
+            Refusal::Conflict(why) => (412, why.as_str()),
+            Refusal::Unknown => (404, "no such call"),
+            Refusal::Method => (405, "another method is needed"),
+            Refusal::Later => (503, "not now"),
+        };
+        let after_ms = (status == 503).then_some(LATER_MS);
+        Reply { status, body: miniserde::json::to_string(&Wrong { error: why }), after_ms }
+    }
+}
+
+/// One kind of call.
+pub trait Call: Sized {
+    /// Its name in the path.
+    const NAME: &'static str;
+    /// Its method.
+    const METHOD: &'static str;
+    /// Whether only the leader answers it.
+    const LEADER: bool;
+    /// The answer's type.
+    type Answer: Serialize;
+
+    /// Reads the question. `arg` is what follows the name in the path.
+    fn read(arg: &str, query: &str, called: &Called) -> Result<Self, Refusal>;
+
+    /// Answers it.
+    fn answer(
+        self, control: &Rc<Control>,
+    ) -> impl std::future::Future<Output = Result<Self::Answer, Refusal>>;
+}
+
+/// The one handler.
+async fn serve<C: Call>(control: &Rc<Control>, arg: &str, query: &str, called: &Called<'_>) -> Reply {
+    if called.method != C::METHOD {
+        return Refusal::Method.reply();
+    }
+    if C::LEADER && !control.leads() {
+        return control.pass_on(called).await.unwrap_or_else(|| Refusal::Later.reply());
+    }
+    let answer = match C::read(arg, query, called) {
+        Ok(call) => call.answer(control).await,
+        Err(refusal) => Err(refusal),
+    };
+    match answer {
+        Ok(answer) => Reply { status: 200, body: miniserde::json::to_string(&answer), after_ms: None },
+        Err(refusal) => refusal.reply(),
+    }
+}
+
+/// Finds the call that a path names and has it answered.
+pub async fn answer(control: &Rc<Control>, called: &Called<'_>) -> Reply {
+    let (path, query) = called.path.split_once('?').unwrap_or((called.path, ""));
+    let Some(path) = path.strip_prefix("/api/") else { return Refusal::Unknown.reply() };
+    let (name, arg) = path.split_once('/').unwrap_or((path, ""));
+    match name {
+        Beat::NAME => serve::<Beat>(control, arg, query, called).await,
+        Leave::NAME => serve::<Leave>(control, arg, query, called).await,
+        Put::NAME => serve::<Put>(control, arg, query, called).await,
+        Patch::NAME => serve::<Patch>(control, arg, query, called).await,
+        Get::NAME => serve::<Get>(control, arg, query, called).await,
+        Evacuate::NAME => serve::<Evacuate>(control, arg, query, called).await,
+        TakeBack::NAME => serve::<TakeBack>(control, arg, query, called).await,
+        Resolve::NAME => serve::<Resolve>(control, arg, query, called).await,
+        _ => Refusal::Unknown.reply(),
+    }
+}
+
+fn text(body: &[u8]) -> Result<&str, Refusal> {
+    std::str::from_utf8(body).map_err(|_| Refusal::Bad("the body is no text".into()))
+}
+
+/// Nothing is told besides that it is done.
+#[derive(Serialize)]
+pub struct Done {}
+
+// ---- Backends ---------------------------------------------------------------------------------------------------
+
+/// A backend says what it is.
+pub struct Beat {
+    /// What it says.
+    pub backend: Backend,
+    /// Rises with each call.
+    pub postmark: u64,
+}
+
+#[derive(Deserialize)]
+struct BeatForm {
+    service: String,
+    address: String,
+    zone: String,
+    berths: Option<u32>,
+    state: String,
+    cold_time: Option<String>,
+    postmark: Option<u64>,
+}
+
+/// Where later beats may go.
+#[derive(Serialize)]
+pub struct BeatAnswer {
+    /// The leader's address.
+    pub beat_address: String,
+}
+
+impl Call for Beat {
+    const NAME: &'static str = "Instances.Beat";
+    const METHOD: &'static str = "POST";
+    const LEADER: bool = true;
+    type Answer = BeatAnswer;
+
+    fn read(arg: &str, _: &str, called: &Called) -> Result<Self, Refusal> {
+        let bad = |why: &str| Refusal::Bad(why.to_owned());
+        let form: BeatForm = miniserde::json::from_str(text(called.body)?)
+            .map_err(|_| bad("a field is missing or of another type"))?;
+        if arg.is_empty() || arg.len() > 256 {
+            return Err(bad("the path names no id"));
+        }
+        if form.address.parse::<std::net::SocketAddr>().is_err() {
+            return Err(bad("address is no address and port"));
+        }
+        let closing = match form.state.as_str() {
+            "open" => false,
+            "closing" => true,
+            _ => return Err(bad("state is neither open nor closing")),
+        };
+        let cold = form.cold_time.as_deref().map_or(Some(Default::default()), crate::units::time);
+        let cold = cold.ok_or_else(|| bad("cold_time is no time, such as 1500ms or 2.5s"))?;
+        let backend = Backend {
+            id: arg.to_owned(),
+            service: form.service,
+            address: form.address,
+            zone: form.zone,
+            berths: form.berths.unwrap_or(0),
+            closing,
+            cold_ms: cold.as_millis() as u64,
+        };
+        Ok(Beat { backend, postmark: form.postmark.unwrap_or(u64::MAX) })
+    }
+
+    async fn answer(self, control: &Rc<Control>) -> Result<BeatAnswer, Refusal> {
+        control.beat(self).await?;
+        Ok(BeatAnswer { beat_address: control.address() })
+    }
+}
+
+/// A backend ends.
+pub struct Leave {
+    /// Its id.
+    pub id: String,
+}
+
+impl Call for Leave {
+    const NAME: &'static str = "Instances.Leave";
+    const METHOD: &'static str = "POST";
+    const LEADER: bool = true;
+    type Answer = Done;
+
+    fn read(arg: &str, _: &str, _: &Called) -> Result<Self, Refusal> {
+        match arg {
+            "" => Err(Refusal::Bad("the path names no id".into())),
+            id => Ok(Leave { id: id.to_owned() }),
+        }
+    }
+
+    async fn answer(self, control: &Rc<Control>) -> Result<Done, Refusal> {
+        control.leave(&self.id).await?;
+        Ok(Done {})
+    }
+}
+
+// ---- Operators --------------------------------------------------------------------------------------------------
+
+/// A digest of a call: the same call again has the same.
+fn digest(called: &Called) -> u64 {
+    use std::hash::Hasher;
+    let mut hasher = siphasher::sip::SipHasher13::new_with_keys(0x6f61, 0x6b66);
+    hasher.write(called.path.as_bytes());
+    hasher.write(called.body);
+    hasher.finish()
+}
+
+/// A whole configuration.
+pub struct Put {
+    /// What it brings.
+    pub envelope: Result<Envelope, Invalid>,
+    /// The call's digest.
+    pub digest: u64,
+}
+
+impl Call for Put {
+    const NAME: &'static str = "Config.Put";
+    const METHOD: &'static str = "POST";
+    const LEADER: bool = true;
+    type Answer = Done;
+
+    fn read(_: &str, _: &str, called: &Called) -> Result<Self, Refusal> {
+        Ok(Put { envelope: Envelope::read(called.body), digest: digest(called) })
+    }
+
+    async fn answer(self, control: &Rc<Control>) -> Result<Done, Refusal> {
+        control.configure(self.envelope, self.digest, |envelope, _| envelope.whole()).await?;
+        Ok(Done {})
+    }
+}
+
+/// Changes of named items.
+pub struct Patch {
+    /// What it brings.
+    pub envelope: Result<Envelope, Invalid>,
+    /// The call's digest.
+    pub digest: u64,
+}
+
+impl Call for Patch {
+    const NAME: &'static str = "Config.Patch";
+    const METHOD: &'static str = "POST";
+    const LEADER: bool = true;
+    type Answer = Done;
+
+    fn read(_: &str, _: &str, called: &Called) -> Result<Self, Refusal> {
+        Ok(Patch { envelope: Envelope::read(called.body), digest: digest(called) })
+    }
+
+    async fn answer(self, control: &Rc<Control>) -> Result<Done, Refusal> {
+        control.configure(self.envelope, self.digest, |envelope, current| envelope.patched(current)).await?;
+        Ok(Done {})
+    }
+}
+
+/// The newest configuration is wanted.
+pub struct Get;
+
+impl Call for Get {
+    const NAME: &'static str = "Config.Get";
+    const METHOD: &'static str = "GET";
+    const LEADER: bool = true;
+    type Answer = miniserde::json::Value;
+
+    fn read(_: &str, _: &str, _: &Called) -> Result<Self, Refusal> {
+        Ok(Get)
+    }
+
+    async fn answer(self, control: &Rc<Control>) -> Result<miniserde::json::Value, Refusal> {
+        let text = control.configuration().ok_or(Refusal::Later)?;
+        miniserde::json::from_str(&text).map_err(|_| Refusal::Later)
+    }
+}
+
+/// A zone is to be emptied.
+pub struct Evacuate(Evacuated);
+
+/// A zone is to be taken back.
+pub struct TakeBack(Evacuated);
+
+fn zone(arg: &str, on: bool) -> Result<Evacuated, Refusal> {
+    match arg {
+        "" => Err(Refusal::Bad("the path names no zone".into())),
+        zone => Ok(Evacuated { zone: zone.to_owned(), on }),
+    }
+}
+
+impl Call for Evacuate {
+    const NAME: &'static str = "Evacuate.Start";
+    const METHOD: &'static str = "POST";
+    const LEADER: bool = true;
+    type Answer = Done;
+
+    fn read(arg: &str, _: &str, _: &Called) -> Result<Self, Refusal> {
+        zone(arg, true).map(Evacuate)
+    }
+
+    async fn answer(self, control: &Rc<Control>) -> Result<Done, Refusal> {
+        control.agree(Kind::Evacuated(self.0)).await?;
+        Ok(Done {})
+    }
+}
+
+impl Call for TakeBack {
+    const NAME: &'static str = "Evacuate.End";
+    const METHOD: &'static str = "POST";
+    const LEADER: bool = true;
+    type Answer = Done;
+
+    fn read(arg: &str, _: &str, _: &Called) -> Result<Self, Refusal> {
+        zone(arg, false).map(TakeBack)
+    }
+
+    async fn answer(self, control: &Rc<Control>) -> Result<Done, Refusal> {
+        control.agree(Kind::Evacuated(self.0)).await?;
+        Ok(Done {})
+    }
+}
+
+// ---- Clients ----------------------------------------------------------------------------------------------------
+
+/// A client asks for gateways.
+pub struct Resolve {
+    /// Its region.
+    pub region: String,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// Gateways, and for how long that holds.
+#[derive(Serialize)]
+pub struct Resolved {
+    /// Where clients arrive.
+    pub addresses: Vec<String>,
+    /// For how long that holds.
+    pub ttl: String,
+}
+
+impl Call for Resolve {
+    const NAME: &'static str = "resolve";
+    const METHOD: &'static str = "GET";
+    const LEADER: bool = false;
+    type Answer = Resolved;
+
+    fn read(_: &str, query: &str, _: &Called) -> Result<Self, Refusal> {
+        let named = |name: &str| {
+            let mut parts = query.split('&').filter_map(|part| part.split_once('='));
+            parts.find(|(of, _)| *of == name).map(|(_, value)| value.to_owned()).unwrap_or_default()
+        };
+        Ok(Resolve { region: named("region"), zone: named("zone") })
+    }
+
+    async fn answer(self, control: &Rc<Control>) -> Result<Resolved, Refusal> {
+        control.resolve(&self).ok_or(Refusal::Later)
+    }
+}
--- /dev/null
+++ b/overland/src/lib.rs
@@ -0,0 +1,21 @@
+//! The system round the gateway: control that agrees on the configuration and keeps the backends, agents that bring
+//! both to the proxies, and proxies that carry the traffic by `cherrytally`'s data plane and decisions.
+//!
+//! `docs/system/design.md` tells which process does what, and what each does when another is silent.
+
+pub mod agent;
+pub mod agreement;
+pub mod calls;
+pub mod config;
+pub mod control;
+pub mod link;
+pub mod news;
+pub mod proxy;
+pub mod routes;
+pub mod settings;
+pub mod speech;
+pub mod start;
+pub mod state;
+pub mod store;
+pub mod tally;
+pub mod units;
--- /dev/null
+++ b/overland/src/link.rs
@@ -0,0 +1,120 @@
+//! Connections between the system's processes: messages with their length before them, and a way out for each
+//! that is bounded.
+
+use bytes::{Buf, BytesMut};
+use prost::Message;
+use std::io::{self, ErrorKind};
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{channel, Receiver, Sender};
+use tokio::time::timeout;
+
+/// Largest message: a whole state with a large configuration.
+const MOST: usize = 32 << 20;
+/// Messages that wait to be written. A peer that takes none for so long is dropped, and resumes when it is back.
+const WAITING: usize = 1024;
+/// A connection comes up within this: the farthest region is a few hundred ms away.
+const CONNECT: Duration = Duration::from_millis(800);
+/// Bytes that are not acknowledged for so long end a connection: a machine behind a cut says nothing.
+const UNHEARD: Duration = Duration::from_millis(2000);
+/// Room for one read.
+const READ: usize = 8 * 1024;
+
+/// Opens a connection.
+pub async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT, TcpStream::connect(addr))
+        .await
+        .map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
+    prepare(&stream);
+    Ok(stream)
+}
+
+/// Sets the options of a connection, whoever opened it.
+pub fn prepare(stream: &TcpStream) {
+    // Without them it works as well, only later.
+    let _ = stream.set_nodelay(true);
+    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNHEARD));
+}
+
+/// Reads messages.
+pub struct Incoming<M> {
+    io: OwnedReadHalf,
+    buf: BytesMut,
+    kind: PhantomData<M>,
+}
+
+impl<M: Message + Default> Incoming<M> {
+    /// Reads from a connection.
+    pub fn new(io: OwnedReadHalf) -> Self {
+        Incoming { io, buf: BytesMut::new(), kind: PhantomData }
+    }
+
+    /// The same connection, with messages of another type from now on.
+    pub fn other<N: Message + Default>(self) -> Incoming<N> {
+        Incoming { io: self.io, buf: self.buf, kind: PhantomData }
+    }
+
+    /// The next message. Dropping the future loses nothing.
+    pub async fn next(&mut self) -> io::Result<M> {
+        let bad = |_| io::Error::from(ErrorKind::InvalidData);
+        loop {
+            if self.buf.len() >= 4 {
+                let length =
+                    u32::from_le_bytes([self.buf[0], self.buf[1], self.buf[2], self.buf[3]]) as usize;
+                if length > MOST {
+                    return Err(ErrorKind::InvalidData.into());
+                }
+                if self.buf.len() >= 4 + length {
+                    self.buf.advance(4);
+                    return M::decode(self.buf.split_to(length).freeze()).map_err(bad);
+                }
+            }
+            self.buf.reserve(READ);
+            if self.io.read_buf(&mut self.buf).await? == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+}
+
+/// The bytes of a message, its length before it.
+pub fn framed(message: &impl Message) -> Vec<u8> {
+    let length = message.encoded_len();
+    let mut bytes = Vec::with_capacity(4 + length);
+    bytes.extend_from_slice(&(length as u32).to_le_bytes());
+    message.encode_raw(&mut bytes);
+    bytes
+}
+
+/// Where messages go out. What is sent when too many wait, or after the end, is lost, and the connection with it.
+#[derive(Clone)]
+pub struct Outgoing(Sender<Vec<u8>>);
+
+impl Outgoing {
+    /// A way out, and what comes of it.
+    pub fn new() -> (Self, Receiver<Vec<u8>>) {
+        let (to, from) = channel(WAITING);
+        (Outgoing(to), from)
+    }
+
+    /// Sends a message; false if it is lost.
+    pub fn send(&self, message: &impl Message) -> bool {
+        self.0.try_send(framed(message)).is_ok()
+    }
+}
+
+/// Writes what is sent until either end closes. Messages that wait together go out together.
+pub async fn write(mut io: OwnedWriteHalf, mut from: Receiver<Vec<u8>>) {
+    while let Some(mut bytes) = from.recv().await {
+        while let Ok(more) = from.try_recv() {
+            bytes.extend_from_slice(&more);
+        }
+        if io.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/overland/src/news.rs
@@ -0,0 +1,350 @@
+//! What the system's processes tell one another: one message type for each link.
+
+use prost::{Message, Oneof};
+
+/// A change of the agreed state.
+#[derive(Clone, PartialEq, Message)]
+pub struct Change {
+    /// Which.
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6")]
+    pub kind: Option<Kind>,
+}
+
+/// The kinds of changes.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Kind {
+    /// A configuration was taken.
+    #[prost(message, tag = "1")]
+    Configured(Configured),
+    /// A zone is emptied or taken back.
+    #[prost(message, tag = "2")]
+    Evacuated(Evacuated),
+    /// A backend is there, or tells something else of itself.
+    #[prost(message, tag = "3")]
+    Backend(Backend),
+    /// A backend of this id is gone.
+    #[prost(string, tag = "4")]
+    BackendGone(String),
+    /// A gateway is there.
+    #[prost(message, tag = "5")]
+    Gateway(Gateway),
+    /// The gateway of this machine is gone.
+    #[prost(string, tag = "6")]
+    GatewayGone(String),
+}
+
+/// A configuration.
+#[derive(Clone, PartialEq, Message)]
+pub struct Configured {
+    /// Its number.
+    #[prost(uint64, tag = "1")]
+    pub edition: u64,
+    /// The whole of it, as JSON.
+    #[prost(string, tag = "2")]
+    pub text: String,
+    /// A digest of the call that brought it: the same call again is acknowledged again.
+    #[prost(fixed64, tag = "3")]
+    pub call: u64,
+}
+
+/// A zone is emptied, or taken back.
+#[derive(Clone, PartialEq, Message)]
+pub struct Evacuated {
+    /// The zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// False where it is taken back.
+    #[prost(bool, tag = "2")]
+    pub on: bool,
+}
+
+/// A backend's life.
+#[derive(Clone, PartialEq, Message)]
+pub struct Backend {
+    /// Its id.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Its service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Where it is.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Its zone.
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    /// Requests that it works on at once.
+    #[prost(uint32, tag = "5")]
+    pub berths: u32,
+    /// It takes nothing new.
+    #[prost(bool, tag = "6")]
+    pub closing: bool,
+    /// It stays cold for so long from now on, in ms.
+    #[prost(uint64, tag = "7")]
+    pub cold_ms: u64,
+}
+
+/// A gateway.
+#[derive(Clone, PartialEq, Message)]
+pub struct Gateway {
+    /// Its machine.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// Its zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Where clients arrive.
+    #[prost(string, tag = "3")]
+    pub front: String,
+}
+
+/// The agreed state, whole.
+#[derive(Clone, PartialEq, Message)]
+pub struct Whole {
+    /// The number of the last change in it.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// The configuration in force.
+    #[prost(message, optional, tag = "2")]
+    pub config: Option<Configured>,
+    /// Zones that are emptied.
+    #[prost(string, repeated, tag = "3")]
+    pub evacuated: Vec<String>,
+    /// The backends.
+    #[prost(message, repeated, tag = "4")]
+    pub backends: Vec<Backend>,
+    /// The gateways.
+    #[prost(message, repeated, tag = "5")]
+    pub gateways: Vec<Gateway>,
+    /// Digests of the calls that brought earlier configurations.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub calls: Vec<u64>,
+}
+
+/// A change with its number.
+#[derive(Clone, PartialEq, Message)]
+pub struct Numbered {
+    /// The number; numbers climb, not always by one.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// The change.
+    #[prost(message, optional, tag = "2")]
+    pub change: Option<Change>,
+}
+
+/// What an agent tells a core process.
+#[derive(Clone, PartialEq, Message)]
+pub struct FromAgent {
+    /// Its machine.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// Its zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Where clients arrive; empty until the proxy has told.
+    #[prost(string, tag = "3")]
+    pub front: String,
+    /// The proxy takes clients.
+    #[prost(bool, tag = "4")]
+    pub ready: bool,
+    /// The number of the last change that the agent holds.
+    #[prost(uint64, tag = "5")]
+    pub held: u64,
+    /// When it was sent, by the agent's own clock, in ms.
+    #[prost(double, tag = "6")]
+    pub at: f64,
+    /// Changes from `held` on are wanted on this link.
+    #[prost(bool, tag = "7")]
+    pub follows: bool,
+    /// The number of the last change that the proxy goes by; nought where there is no proxy.
+    #[prost(uint64, tag = "8")]
+    pub applied: u64,
+}
+
+/// What a core process tells an agent.
+#[derive(Clone, PartialEq, Message)]
+pub struct ToAgent {
+    /// The whole state, where the agent's is too old.
+    #[prost(message, optional, tag = "1")]
+    pub whole: Option<Whole>,
+    /// Changes, in order.
+    #[prost(message, repeated, tag = "2")]
+    pub changes: Vec<Numbered>,
+    /// The answer to a word of the agent.
+    #[prost(message, optional, tag = "3")]
+    pub pulse: Option<Pulse>,
+}
+
+/// A core process's answer to a word of an agent.
+#[derive(Clone, PartialEq, Message)]
+pub struct Pulse {
+    /// The agent's `at`.
+    #[prost(double, tag = "1")]
+    pub at: f64,
+    /// It leads, and a majority has said so lately.
+    #[prost(bool, tag = "2")]
+    pub leads: bool,
+    /// The term of who leads, as far as it knows.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+    /// The number of the last change it has applied.
+    #[prost(uint64, tag = "4")]
+    pub index: u64,
+    /// The members of the core.
+    #[prost(string, repeated, tag = "5")]
+    pub members: Vec<String>,
+}
+
+/// What an agent tells its proxy.
+#[derive(Clone, PartialEq, Message)]
+pub struct ToProxy {
+    /// The whole state.
+    #[prost(message, optional, tag = "1")]
+    pub whole: Option<Whole>,
+    /// Changes, in order.
+    #[prost(message, repeated, tag = "2")]
+    pub changes: Vec<Numbered>,
+    /// Where the counting gateway is, empty if that is not known.
+    #[prost(string, tag = "3")]
+    pub counter: String,
+    /// The term of its duty.
+    #[prost(uint64, tag = "4")]
+    pub term: u64,
+    /// The age of the last word of who leads, in ms; below nought if there was none.
+    #[prost(double, tag = "5")]
+    pub age_ms: f64,
+}
+
+/// What a proxy tells its agent.
+#[derive(Clone, PartialEq, Message)]
+pub struct FromProxy {
+    /// Where clients arrive.
+    #[prost(string, tag = "1")]
+    pub front: String,
+    /// It takes clients.
+    #[prost(bool, tag = "2")]
+    pub ready: bool,
+    /// The number of the last change that it holds.
+    #[prost(uint64, tag = "3")]
+    pub held: u64,
+}
+
+/// Charges to the counting gateway.
+#[derive(Clone, PartialEq, Message)]
+pub struct Charges {
+    /// The gateway's machine.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// Counts up with each message on a connection.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// The charges.
+    #[prost(message, repeated, tag = "3")]
+    pub charges: Vec<Charge>,
+}
+
+/// A charge to one tenant's count.
+#[derive(Clone, PartialEq, Message)]
+pub struct Charge {
+    /// The tenant.
+    #[prost(string, tag = "1")]
+    pub tenant: String,
+    /// Units; below nought where earlier ones are taken back.
+    #[prost(sint64, tag = "2")]
+    pub units: i64,
+}
+
+/// Totals of the counting gateway.
+#[derive(Clone, PartialEq, Message)]
+pub struct Totals {
+    /// The number of the charges.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// False while the holder of the duty can't vouch for a count.
+    #[prost(bool, tag = "2")]
+    pub sure: bool,
+    /// One total for each charge, in order.
+    #[prost(message, repeated, tag = "3")]
+    pub totals: Vec<Total>,
+}
+
+/// A tenant's count after a charge.
+#[derive(Clone, PartialEq, Message)]
+pub struct Total {
+    /// Units in this window.
+    #[prost(sint64, tag = "1")]
+    pub units: i64,
+    /// The window's limit for those who reach the counter.
+    #[prost(sint64, tag = "2")]
+    pub limit: i64,
+    /// What is left of the window, in ms.
+    #[prost(uint32, tag = "3")]
+    pub left_ms: u32,
+}
+
+/// The first message on a connection: who calls, and what for.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// What the connection is for.
+    #[prost(enumeration = "Purpose", tag = "1")]
+    pub purpose: i32,
+}
+
+/// What a connection between processes is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Purpose {
+    /// Nothing that is known.
+    None = 0,
+    /// A core process speaks to another one.
+    Core = 1,
+    /// An agent follows the agreed state.
+    Agent = 2,
+    /// A proxy charges units.
+    Counter = 3,
+}
+
+/// What a core process tells another one.
+#[derive(Clone, PartialEq, Message)]
+pub struct CoreWord {
+    /// Its name: its control address.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// The word.
+    #[prost(oneof = "Word", tags = "2, 3, 4, 5")]
+    pub word: Option<Word>,
+}
+
+/// The kinds of words between core processes.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Word {
+    /// Of the agreement.
+    #[prost(message, tag = "2")]
+    Agreement(crate::agreement::Letter),
+    /// A call that came to one that does not lead.
+    #[prost(message, tag = "3")]
+    Call(Forwarded),
+    /// Its answer.
+    #[prost(message, tag = "4")]
+    Answer(Forwarded),
+    /// It is not among the members and wants to be.
+    #[prost(bool, tag = "5")]
+    Join(bool),
+}
+
+/// A call passed on to the leader, or its answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Forwarded {
+    /// Pairs the two.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The call's path; empty in an answer.
+    #[prost(string, tag = "2")]
+    pub path: String,
+    /// The body.
+    #[prost(bytes = "vec", tag = "3")]
+    pub body: Vec<u8>,
+    /// The answer's status.
+    #[prost(uint32, tag = "4")]
+    pub status: u32,
+}
--- /dev/null
+++ b/overland/src/proxy.rs
@@ -0,0 +1,798 @@
+//! The proxy: takes clients' requests, charges their tenants, and has the decision module send them.
+
+use crate::agent::feed;
+use crate::link::{self, Incoming, Outgoing};
+use crate::news::{Charge, Charges, FromProxy, Hello, Purpose, ToProxy, Totals};
+use crate::routes::{Numbers, Route, Stamped, Table, Tenant, Zones};
+use crate::settings::Settings;
+use crate::speech::Wire;
+use crate::state::{State, Touched};
+use crate::tally::{Counted, Tally, Verdict};
+use bytes::BytesMut;
+use cherrytally::plane::backends::Backends;
+use cherrytally::plane::deadline::Stated;
+use cherrytally::plane::driver::{Answer, Asked, Driver, Ears, Reach, Told, Work};
+use cherrytally::plane::http::Head;
+use cherrytally::plane::room::{Budget, Content, More, Short, Upload, HELD_MOST};
+use cherrytally::{
+    Further, Limits, Listed, Millis, Plan, Reason, Result as Ended, Rules, Settings as Tuning,
+    State as Stands,
+};
+use eyre::{eyre, Result, WrapErr};
+use hyper::body::Incoming as Body;
+use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::{oneshot, watch, Notify, Semaphore};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+
+/// Descriptors kept for all but clients and backends.
+const RESERVED: u64 = 264;
+/// A backend's connection comes up within this, in ms: the farthest region is some hundred away.
+const CONNECT_MS: f64 = 500.0;
+/// Backends close connections that are idle for so long, in ms; they are used for half of it.
+const IDLE_MS: f64 = 8_000.0;
+/// Longest wait for the counter, as a share of the route's aim.
+const COUNT_OF_AIM: f64 = 0.35;
+/// A body has come, or comes at a fair pace, so long after its head.
+const WHOLE: Duration = Duration::from_secs(5);
+/// A body waits so long for room.
+const ROOM: Duration = Duration::from_secs(1);
+/// What is read from a client at once, and the longest head.
+const READ: usize = 16 * 1024;
+/// A request without a word on how long its client waits.
+const WAITS: Duration = Duration::from_secs(10);
+/// Clients that are refused for want of room come back after so long at least, in ms.
+const AFTER_MS: f64 = 50.0;
+/// And at most.
+const AFTER_MOST_MS: f64 = 2000.0;
+/// Cost of another region, and of another zone, in usual times of a request.
+const FAR: (f64, f64) = (2.0, 0.15);
+/// The part of a budget that all gateways share which is used: others may be unknown.
+const OF_BUDGET: f64 = 0.8;
+/// After SIGTERM clients are still taken in for so long: they go by what they were told before.
+const ACCEPT_ON: f64 = 0.45;
+/// And what is open may end within this share of the time that is granted.
+const ANSWERED: f64 = 0.92;
+/// Between two tries to reach another process.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// A charge on its way.
+struct Charging {
+    tenant: String,
+    units: i64,
+    answer: oneshot::Sender<Option<Counted>>,
+}
+
+/// Nothing is counted yet besides what the log tells.
+struct Quiet;
+
+impl Ears for Quiet {
+    fn attempted(&self, _: Ended) {}
+
+    fn called(&self, _: Ended) {}
+
+    fn refused(&self, _: Reason) {}
+
+    fn relayed(&self) {}
+
+    fn told(&self, line: &str) {
+        log::info!("proxy: {line}");
+    }
+}
+
+/// Whether clients are taken in.
+#[derive(Clone, Copy, PartialEq)]
+enum Phase {
+    /// They are.
+    Serves,
+    /// Each answer asks its client to go.
+    Drains,
+    /// Idle connections are closed.
+    Closes,
+}
+
+/// A proxy.
+pub struct Proxy {
+    settings: Settings,
+    zones: Zones,
+    started: Instant,
+    front: SocketAddr,
+    driver: Rc<Driver>,
+    budget: Rc<Budget>,
+    places: Arc<Semaphore>,
+    phase: watch::Sender<Phase>,
+    busy: Cell<usize>,
+    state: RefCell<Option<State>>,
+    table: RefCell<Option<Rc<Table>>>,
+    routes: RefCell<Numbers>,
+    pools: RefCell<Numbers>,
+    /// Zones that are emptied, one bit each.
+    evacuated: Cell<u64>,
+    tally: RefCell<Tally>,
+    charges: UnboundedSender<Charging>,
+    counter: watch::Sender<Option<SocketAddr>>,
+    /// The moment of the last word of who leads.
+    fresh: Cell<Option<Instant>>,
+    told: Notify,
+    rng: RefCell<fastrand::Rng>,
+}
+
+type Reply = Response<Content>;
+
+fn plain(status: StatusCode, text: &'static str) -> Reply {
+    let mut reply = Response::new(Content::whole(text));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// A refusal of a request that has not run and never will, with the time to come back.
+fn refused(status: StatusCode, after_ms: f64) -> Reply {
+    let mut reply = plain(status, "not run\n");
+    let seconds = format!("{:.3}", after_ms.clamp(AFTER_MS, AFTER_MOST_MS) / 1000.0);
+    reply.headers_mut().extend(HeaderValue::try_from(seconds).ok().map(|value| (RETRY_AFTER, value)));
+    reply
+}
+
+/// A request in hand.
+struct Busy(Rc<Proxy>, Option<cherrytally::RequestId>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+        if let Some(id) = self.1.take() {
+            self.0.driver.leave(id);
+        }
+    }
+}
+
+impl Proxy {
+    /// Runs a proxy until it is told to end.
+    pub async fn run(settings: Settings) -> Result<()> {
+        let front = settings.front.ok_or_else(|| eyre!("network.docks_at.front is missing"))?;
+        let mut term = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
+        let listener = TcpListener::bind(front).await.wrap_err("front address")?;
+        let places = (settings.fds.saturating_sub(RESERVED) / 2).max(2) as usize;
+        let budget = Rc::new(Budget::new(settings.memory_mb << 20));
+        let reach = Reach {
+            backends: Backends::new(places, CONNECT_MS, IDLE_MS),
+            calls: None,
+            tells: None,
+            budget: budget.clone(),
+            speech: Rc::new(Wire),
+            ears: Rc::new(Quiet),
+        };
+        let zones = Zones::new(&settings.zones);
+        let seed = fastrand::u64(..);
+        let (charges, charging) = unbounded_channel();
+        let proxy = Rc::new(Proxy {
+            driver: Driver::new(tuning(&settings, &zones, Vec::new(), 1, 0), seed, reach),
+            zones,
+            started: Instant::now(),
+            front,
+            budget,
+            places: Arc::new(Semaphore::new(places)),
+            phase: watch::Sender::new(Phase::Serves),
+            busy: Cell::new(0),
+            state: RefCell::default(),
+            table: RefCell::default(),
+            routes: RefCell::default(),
+            pools: RefCell::default(),
+            evacuated: Cell::new(0),
+            tally: RefCell::default(),
+            charges,
+            counter: watch::Sender::new(None),
+            fresh: Cell::new(None),
+            told: Notify::new(),
+            rng: RefCell::new(fastrand::Rng::with_seed(seed)),
+            settings,
+        });
+        tokio::task::spawn_local(proxy.clone().be_fed());
+        tokio::task::spawn_local(proxy.clone().charge(charging));
+        if let Some(ready) = proxy.settings.ready {
+            let listener = TcpListener::bind(ready).await.wrap_err("ready address")?;
+            tokio::task::spawn_local(proxy.clone().tell_ready(listener));
+        }
+        let sweeping = proxy.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                sleep(Duration::from_secs(1)).await;
+                sweeping.driver.sweep();
+            }
+        });
+        let accepting = tokio::task::spawn_local(proxy.clone().accept(listener));
+        log::info!("proxy: clients arrive at {front}");
+        term.recv().await;
+        log::info!("proxy: told to end");
+        let (now, grace) = (Instant::now(), proxy.settings.bounds.grace);
+        proxy.phase.send_replace(Phase::Drains);
+        proxy.told.notify_waiters();
+        sleep_until(now + grace.mul_f64(ACCEPT_ON)).await;
+        accepting.abort();
+        proxy.phase.send_replace(Phase::Closes);
+        while proxy.busy.get() > 0 && now.elapsed() < grace.mul_f64(ANSWERED) {
+            sleep(Duration::from_millis(10)).await;
+        }
+        // The last answers are on their way out.
+        sleep(Duration::from_millis(100)).await;
+        Ok(())
+    }
+
+    fn now(&self) -> Millis {
+        self.started.elapsed().as_secs_f64() * 1000.0
+    }
+
+    // ---- What the agent tells -----------------------------------------------------------------------------------
+
+    async fn be_fed(self: Rc<Self>) {
+        loop {
+            if let Ok(stream) = link::connect(feed(&self.settings)).await {
+                // However it ends: the agent is asked again, and until then what it told holds.
+                let _ = self.fed(stream).await;
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    async fn fed(self: &Rc<Self>, stream: TcpStream) -> std::io::Result<()> {
+        let (read, write) = stream.into_split();
+        let (out, from) = Outgoing::new();
+        let writing = tokio::task::spawn_local(link::write(write, from));
+        let mut incoming = Incoming::<ToProxy>::new(read);
+        let ended = loop {
+            let held = self.state.borrow().as_ref().map_or(0, |state| state.index);
+            out.send(&FromProxy { front: self.front.to_string(), ready: self.ready(), held });
+            let next = tokio::select! {
+                next = incoming.next() => next,
+                () = self.told.notified() => continue,
+            };
+            match next {
+                Ok(news) => self.take(news),
+                Err(e) => break Err(e),
+            }
+        };
+        writing.abort();
+        ended
+    }
+
+    fn take(self: &Rc<Self>, news: ToProxy) {
+        let ToProxy { whole, changes, counter, age_ms, .. } = news;
+        let now = self.now();
+        let held = self.state.borrow().as_ref().map_or(0, |state| state.index);
+        let mut touched = Vec::new();
+        if let Some(whole) = whole.filter(|whole| whole.index > held) {
+            *self.state.borrow_mut() = Some(State::from_whole(now, whole));
+            touched = vec![Touched::Config, Touched::Backends, Touched::Gateways];
+        }
+        if let Some(state) = self.state.borrow_mut().as_mut() {
+            touched.extend(state.follow(now, &changes));
+        }
+        if touched.contains(&Touched::Config) {
+            self.configure();
+        }
+        if touched.contains(&Touched::Gateways) || touched.contains(&Touched::Config) {
+            self.tune();
+        }
+        if touched.contains(&Touched::Backends) || touched.contains(&Touched::Config) {
+            self.list();
+        }
+        let counter = counter.parse().ok();
+        self.counter.send_if_modified(|at| std::mem::replace(at, counter) != counter);
+        if age_ms >= 0.0 {
+            let at = Instant::now().checked_sub(Duration::from_secs_f64(age_ms.min(1e9) / 1000.0));
+            self.fresh.set(self.fresh.get().max(at));
+        }
+    }
+
+    /// Goes by another configuration from now on.
+    fn configure(&self) {
+        let state = self.state.borrow();
+        let Some(config) = state.as_ref().and_then(|state| state.config.as_ref()) else { return };
+        let former = self.table.borrow().as_ref().map(|table| table.classes.clone()).unwrap_or_default();
+        let (mut routes, mut pools) = (self.routes.borrow_mut(), self.pools.borrow_mut());
+        match Table::new(&config.text, &self.zones, &mut routes, &mut pools, &former) {
+            Ok(table) => {
+                self.tally.borrow_mut().limits(self.now(), &table.limits);
+                *self.table.borrow_mut() = Some(Rc::new(table));
+            }
+            Err(e) => log::error!("proxy: r{} can't be gone by: {}", config.edition, e.0),
+        }
+    }
+
+    fn tune(&self) {
+        let Some((gateways, position)) = self.state.borrow().as_ref().map(|state| {
+            let position = state.gateways.keys().position(|node| *node == self.settings.node);
+            (state.gateways.len().max(1), position.unwrap_or(0))
+        }) else {
+            return;
+        };
+        self.tally.borrow_mut().gateways(gateways);
+        let classes = self.table.borrow().as_ref().map(|table| table.classes.clone()).unwrap_or_default();
+        let tuning = tuning(&self.settings, &self.zones, classes, gateways as u32, position as u32);
+        self.driver.retune(tuning, CONNECT_MS, IDLE_MS);
+    }
+
+    fn list(&self) {
+        let state = self.state.borrow();
+        let Some(state) = state.as_ref() else { return };
+        let table = self.table.borrow();
+        let mut pools = self.pools.borrow_mut();
+        let bits = state.evacuated.iter().fold(0, |bits, zone| bits | 1 << self.zones.number(zone).min(63));
+        let back = self.evacuated.replace(bits) & !bits;
+        let (mine, theirs) = (self.now(), self.driver.now());
+        let region = |zone: &str| self.zones.region(zone);
+        let told = state.backends.values().filter_map(|known| {
+            let b = &known.backend;
+            let (pool, zone) = (pools.of(&b.service), self.zones.number(&b.zone));
+            let per_s = table.as_ref().and_then(|table| table.cold_per_s.get(&pool)).copied().unwrap_or(0.0);
+            let mut cold_until = if known.cold_until > mine { theirs + known.cold_until - mine } else { 0.0 };
+            if back >> zone.min(63) & 1 == 1 {
+                // Backends of a zone that is taken back may have turned cold meanwhile.
+                let cold_ms =
+                    table.as_ref().and_then(|table| table.cold_ms.get(&pool)).copied().unwrap_or(0.0);
+                cold_until = f64::max(cold_until, theirs + cold_ms);
+            }
+            let far = match (b.zone == self.settings.zone, region(&b.zone) == Some(&self.settings.region)) {
+                (true, _) => 0.0,
+                (_, true) => FAR.1,
+                _ => FAR.0,
+            };
+            let listed = Listed {
+                id: 0,
+                zone,
+                kind: 0,
+                cell: 0,
+                state: if b.closing { Stands::Draining } else { Stands::Ready },
+                size: f64::from(b.berths.max(1)),
+                started: 0.0,
+                pool,
+                far,
+                cold_until: if per_s > 0.0 { cold_until } else { 0.0 },
+                cold_per_s: per_s,
+            };
+            Some(Told { name: b.id.clone(), addr: Some(b.address.parse().ok()?), listed })
+        });
+        self.driver.list(true, told.collect());
+        self.driver.discovery_heard();
+    }
+
+    /// Whether it may still go by the keys that it has.
+    fn in_touch(&self) -> bool {
+        let bounds = &self.settings.bounds;
+        !bounds.closed || self.fresh.get().is_some_and(|at| at.elapsed() < bounds.lease())
+    }
+
+    /// Whether clients are to come.
+    fn ready(&self) -> bool {
+        let serves = *self.phase.borrow() == Phase::Serves;
+        serves && self.table.borrow().is_some() && self.driver.ready() && self.in_touch()
+    }
+
+    async fn tell_ready(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            let proxy = self.clone();
+            tokio::task::spawn_local(async move {
+                let service = service_fn(|_: Request<Body>| {
+                    let ready = proxy.ready();
+                    let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+                    async move { Ok::<_, Infallible>(plain(status, "")) }
+                });
+                let connection = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(WHOLE)
+                    .serve_connection(TokioIo::new(stream), service);
+                // Who asks and breaks off asks again.
+                let _ = connection.await;
+            });
+        }
+    }
+
+    // ---- Charges ----------------------------------------------------------------------------------------------------
+
+    async fn charge(self: Rc<Self>, mut charging: UnboundedReceiver<Charging>) {
+        let mut counter = self.counter.subscribe();
+        loop {
+            let at = *counter.borrow_and_update();
+            let stream = match at {
+                Some(at) => link::connect(at).await.ok(),
+                None => None,
+            };
+            match stream {
+                Some(stream) => self.charge_on(stream, &mut charging, &mut counter).await,
+                None => {
+                    // Nobody counts: what waits surely did not count.
+                    while let Ok(lost) = charging.try_recv() {
+                        drop(lost.answer);
+                    }
+                    let _ = timeout(AGAIN, counter.changed()).await;
+                }
+            }
+        }
+    }
+
+    async fn charge_on(
+        &self, stream: TcpStream, charging: &mut UnboundedReceiver<Charging>,
+        counter: &mut watch::Receiver<Option<SocketAddr>>,
+    ) {
+        let (read, write) = stream.into_split();
+        let (out, from) = Outgoing::new();
+        let writing = tokio::task::spawn_local(link::write(write, from));
+        out.send(&Hello { purpose: Purpose::Counter as i32 });
+        let mut incoming = Incoming::<Totals>::new(read);
+        let mut waiting: VecDeque<(u64, Vec<oneshot::Sender<Option<Counted>>>)> = VecDeque::new();
+        let mut number = 0;
+        loop {
+            tokio::select! {
+                _ = counter.changed() => break,
+                totals = incoming.next() => {
+                    let Ok(Totals { number, sure, totals }) = totals else { break };
+                    while waiting.front().is_some_and(|(of, _)| *of < number) {
+                        waiting.pop_front();
+                    }
+                    let Some((_, answers)) = waiting.pop_front() else { continue };
+                    for (at, answer) in answers.into_iter().enumerate() {
+                        let total = totals.get(at).filter(|_| sure);
+                        let counted = total.map(|total| Counted {
+                            units: total.units,
+                            limit: total.limit,
+                            left_ms: f64::from(total.left_ms),
+                        });
+                        // It may have waited long enough.
+                        let _ = answer.send(counted);
+                    }
+                }
+                first = charging.recv() => {
+                    let Some(first) = first else { return };
+                    let (mut charges, mut answers) = (Vec::new(), Vec::new());
+                    let mut next = Some(first);
+                    while let Some(Charging { tenant, units, answer }) = next {
+                        charges.push(Charge { tenant, units });
+                        answers.push(answer);
+                        next = charging.try_recv().ok();
+                    }
+                    number += 1;
+                    waiting.push_back((number, answers));
+                    if !out.send(&Charges { node: self.settings.node.clone(), number, charges }) {
+                        break;
+                    }
+                }
+            }
+        }
+        writing.abort();
+    }
+
+    /// The ordinary path's first step: a request's unit is added to its tenant's count.
+    async fn admit(&self, tenant: &Tenant, target: Duration) -> Verdict {
+        let asked = self.tally.borrow_mut().ask(self.now(), &tenant.name);
+        let Verdict::Charge(units) = asked else { return asked };
+        let (answer, total) = oneshot::channel();
+        let sent = self.charges.send(Charging { tenant: tenant.name.clone(), units, answer });
+        let total = match sent {
+            Ok(()) => timeout(target.mul_f64(COUNT_OF_AIM), total).await,
+            Err(_) => Ok(Ok(None)),
+        };
+        let mut tally = self.tally.borrow_mut();
+        let now = self.now();
+        match total {
+            Ok(Ok(Some(counted))) => tally.counted(now, &tenant.name, counted),
+            // Not counted, or by nobody who vouches for it.
+            Ok(_) => tally.unanswered(now, &tenant.name, Some(units)),
+            Err(_) => tally.unanswered(now, &tenant.name, None),
+        }
+    }
+
+    // ---- Clients ------------------------------------------------------------------------------------------------------
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok(place) = self.places.clone().acquire_owned().await else { return };
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(_) => {
+                    sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+            };
+            let proxy = self.clone();
+            tokio::task::spawn_local(async move {
+                proxy.connection(stream).await;
+                drop(place);
+            });
+        }
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let idle = self.table.borrow().as_ref().map_or(WHOLE, |table| table.idle);
+        let service = service_fn(|request| {
+            let proxy = self.clone();
+            async move { Ok::<_, Infallible>(proxy.reply(request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(idle)
+            .max_buf_size(READ)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let mut phase = self.phase.subscribe();
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            _ = phase.wait_for(|phase| *phase == Phase::Closes) => connection.as_mut().graceful_shutdown(),
+        }
+        let _ = connection.await;
+    }
+
+    async fn reply(self: &Rc<Self>, request: Request<Body>) -> Reply {
+        self.busy.set(self.busy.get() + 1);
+        let busy = Busy(self.clone(), None);
+        let mut reply = self.answer(request, busy).await;
+        if *self.phase.borrow() != Phase::Serves {
+            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        reply
+    }
+
+    async fn answer(self: &Rc<Self>, request: Request<Body>, mut busy: Busy) -> Reply {
+        let (parts, body) = request.into_parts();
+        let Some(table) = self.table.borrow().clone() else {
+            return refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MS);
+        };
+        let text = |name: &HeaderName| parts.headers.get(name).and_then(|value| value.to_str().ok());
+        let host = text(&HOST).unwrap_or("");
+        let Some(route) = table.route(host, parts.uri.path()) else {
+            return plain(StatusCode::NOT_FOUND, "no such route\n");
+        };
+        let key = text(&AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
+        let tenant = match table.stamped(&route, key) {
+            Stamped::Open => None,
+            Stamped::By(tenant) => Some(tenant),
+            Stamped::Unknown => return plain(StatusCode::UNAUTHORIZED, "no such key\n"),
+        };
+        if tenant.is_some() && !self.in_touch() {
+            // The key may have been taken away meanwhile.
+            return refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MOST_MS);
+        }
+        let waits =
+            parts.headers.get("deadline-ms").and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        let waits = waits.map_or(WAITS, Duration::from_millis).min(route.timeout);
+        let (body, more) = match self.body(body, table.body_bytes).await {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        let deadline = Stated::remaining(waits).from(Instant::now());
+        if let Some(tenant) = &tenant {
+            if let Verdict::Refuse(after) = self.admit(tenant, route.target).await {
+                return refused(StatusCode::TOO_MANY_REQUESTS, after);
+            }
+        }
+        let places =
+            route.places & tenant.as_ref().map_or(u64::MAX, |tenant| tenant.places) & !self.evacuated.get();
+        let asked = Asked {
+            customer: 0,
+            plan: 0,
+            class: route.class,
+            units: 1.0,
+            spread: 1.0,
+            repeat: false,
+            pool: self.pool(&route),
+            places,
+            attempts: route.attempts,
+            deadline,
+            until: None,
+        };
+        let tenant_name = tenant.as_ref().map(|tenant| tenant.name.as_str());
+        let work = work(
+            &parts.method,
+            parts.uri.path_and_query().map_or("/", |p| p.as_str()),
+            &parts.headers,
+            tenant_name,
+            &body,
+            more,
+        );
+        let (id, answer) = self.driver.request(&asked, work);
+        busy.1 = Some(id);
+        let (answer, course) = self.driver.answer(id, answer).await;
+        busy.1 = None;
+        if let (Some(tenant), false) = (&tenant, course.ran || matches!(answer, Answer::Served { .. })) {
+            // The true units: what never ran cost nothing.
+            self.tally.borrow_mut().settle(&tenant.name);
+        }
+        match answer {
+            Answer::Served { head, content } => served(&head, content),
+            Answer::Refused { retry_after_ms, .. } if !course.ran => {
+                refused(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+            }
+            Answer::Failed if course.attempts == 0 => refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MS),
+            Answer::Refused { .. } | Answer::Failed => {
+                plain(StatusCode::BAD_GATEWAY, "failed; it may have run\n")
+            }
+            Answer::Short(short) => short_of(short),
+        }
+    }
+
+    /// Reads a body: whole if it is small.
+    async fn body(
+        &self, body: Body, most: u64,
+    ) -> Result<(BytesMut, Option<(Rc<More>, Option<u64>)>), Reply> {
+        let mut upload = Upload::new(body, Instant::now() + WHOLE, None);
+        let size = upload.size();
+        let mut held = BytesMut::new();
+        if size == Some(0) {
+            return Ok((held, None));
+        }
+        if size.is_some_and(|size| size > most) {
+            return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
+        }
+        let room = timeout_at(Instant::now() + ROOM, self.budget.body(size)).await;
+        let Ok(_room) = room else { return Err(refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MOST_MS)) };
+        loop {
+            match upload.piece().await {
+                Ok(None) => return Ok((held, None)),
+                Ok(Some(piece)) => held.extend_from_slice(&piece),
+                Err(short) => return Err(short_of(short)),
+            }
+            if held.len() > HELD_MOST {
+                return Ok((held, Some((Rc::new(More::new(upload)), size))));
+            }
+        }
+    }
+
+    /// The service of a request: by weight where there are several.
+    fn pool(&self, route: &Route) -> u32 {
+        let sum: f64 = route.pools.iter().map(|(_, weight)| weight).sum();
+        let mut at = self.rng.borrow_mut().f64() * sum;
+        for (pool, weight) in &route.pools {
+            if at < *weight {
+                return *pool;
+            }
+            at -= weight;
+        }
+        route.pools.iter().rev().find(|(_, weight)| *weight > 0.0).map_or(0, |(pool, _)| *pool)
+    }
+}
+
+fn short_of(short: Short) -> Reply {
+    match short {
+        Short::TooLarge => plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
+        Short::Broken => plain(StatusCode::BAD_REQUEST, "the body is not whole\n"),
+        // Nothing of it was sent on that could run.
+        Short::Slow => plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
+    }
+}
+
+/// What the decision module goes by.
+fn tuning(
+    settings: &Settings, zones: &Zones, classes: Vec<cherrytally::Class>, gateways: u32, position: u32,
+) -> Tuning {
+    let bounds = &settings.bounds;
+    Tuning {
+        gateways,
+        position,
+        zone: zones.number(&settings.zone),
+        tick_ms: 0.0,
+        classes,
+        plans: vec![Plan { price: 1.0, ..Plan::default() }],
+        counter: None,
+        most_units: 1.0,
+        settles: false,
+        limits: Limits {
+            max_attempts: 4,
+            second_copies: false,
+            cancel: true,
+            probes: false,
+            peers: false,
+            retry_after: true,
+            max_retry_after_ms: AFTER_MOST_MS,
+        },
+        rules: Rules {
+            cold_from: 0.5,
+            fall_multiple: 2.0,
+            fall_ms: 1000.0,
+            further: Some(Further {
+                share: bounds.retry_ratio * OF_BUDGET,
+                most: bounds.retry_slack * OF_BUDGET / f64::from(gateways.max(1)),
+            }),
+            ..Rules::default()
+        },
+        ..Tuning::default()
+    }
+}
+
+/// Headers that concern one connection, and those that the system sets itself.
+const OWN: [&str; 13] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "content-length",
+    "authorization",
+    "deadline-ms",
+    "expect-instance",
+    "tenant",
+];
+
+/// Names that a `Connection` header makes a connection's own.
+fn listed(headers: &HeaderMap) -> Vec<String> {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).map(|name| name.trim().to_ascii_lowercase()).collect()
+}
+
+/// The request as a backend gets it.
+fn work(
+    method: &Method, target: &str, headers: &HeaderMap, tenant: Option<&str>, body: &[u8],
+    more: Option<(Rc<More>, Option<u64>)>,
+) -> Work {
+    let mut head = Vec::with_capacity(512);
+    let mut line = |parts: &[&[u8]]| parts.iter().for_each(|part| head.extend_from_slice(part));
+    line(&[method.as_str().as_bytes(), b" ", target.as_bytes(), b" HTTP/1.1\r\n"]);
+    let own = listed(headers);
+    for (name, value) in headers {
+        if !OWN.contains(&name.as_str()) && !own.iter().any(|of| of == name.as_str()) {
+            line(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
+        }
+    }
+    if let Some(tenant) = tenant {
+        line(&[b"Tenant: ", tenant.as_bytes(), b"\r\n"]);
+    }
+    let size = match &more {
+        Some((_, size)) => *size,
+        None => Some(body.len() as u64),
+    };
+    let named = headers.contains_key(CONTENT_LENGTH) || headers.contains_key("transfer-encoding");
+    let chunked = size.is_none();
+    if chunked {
+        line(&[b"Transfer-Encoding: chunked\r\n"]);
+    } else if named || size != Some(0) {
+        line(&[b"Content-Length: ", size.unwrap_or(0).to_string().as_bytes(), b"\r\n"]);
+    }
+    let rest = if chunked {
+        [b"\r\n", format!("{:x}\r\n", body.len()).as_bytes(), body, b"\r\n"].concat()
+    } else {
+        [b"\r\n", body].concat()
+    };
+    let name = headers.get("request-id").map(|id| id.as_bytes().to_vec()).unwrap_or_default();
+    Work { head, rest, name, more: more.map(|(more, _)| (more, chunked)), _part: None }
+}
+
+/// A backend's answer as the client gets it.
+fn served(head: &Head, content: Content) -> Reply {
+    let mut reply = Response::new(content);
+    *reply.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut own: HashMap<String, ()> = HashMap::new();
+    head.each(|name, value| {
+        if name.eq_ignore_ascii_case("connection") {
+            let value = String::from_utf8_lossy(value).to_ascii_lowercase();
+            own.extend(value.split(',').map(|name| (name.trim().to_owned(), ())));
+        }
+    });
+    let headers = reply.headers_mut();
+    head.each(|name, value| {
+        let kept = !OWN.iter().any(|of| name.eq_ignore_ascii_case(of))
+            && !own.contains_key(&name.to_ascii_lowercase());
+        let pair = HeaderName::try_from(name).ok().zip(HeaderValue::from_bytes(value).ok()).filter(|_| kept);
+        if let Some((name, value)) = pair {
+            headers.append(name, value);
+        }
+    });
+    reply
+}
--- /dev/null
+++ b/overland/src/tally.rs
@@ -0,0 +1,243 @@
+//! The shared count of each tenant's units, on both sides: the counting gateway that holds it, and a gateway that
+//! charges it before it sends.
+//!
+//! A count is named by its tenant and a window; a window lasts burst over rate seconds and holds one burst. Windows are
+//! the counter's alone, by its steady clock. What a charge can't reach, or what the counter can't vouch for, goes by a
+//! gateway's share of the rate: the shares of all gateways, known and silent, sum below the limit, and the counter
+//! takes the shares of those that are silent off what it grants the others.
+
+use cherrytally::Millis;
+use std::collections::BTreeMap;
+
+/// A share is so much of an even part of the rate: gateways that come up unknown have one, too.
+const OF_SHARE: f64 = 0.9;
+/// Shortest window, in ms: charges have a way to go.
+const WINDOW_LEAST_MS: f64 = 200.0;
+/// Longest window, in ms.
+const WINDOW_MOST_MS: f64 = 60_000.0;
+/// A tenant that nobody charged for so long is forgotten, in ms.
+const IDLE_MS: f64 = 120_000.0;
+/// After so many calls in a row that were not answered in time requests no longer wait for the counter.
+const MISSES: u32 = 3;
+/// One request in so many still waits then, to hear of its return.
+const LOOK: u32 = 8;
+
+/// A tenant's limit, over all gateways.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Limit {
+    /// Requests a second; nought for no limit.
+    pub per_s: f64,
+    /// And so many on top.
+    pub burst: f64,
+}
+
+impl Limit {
+    /// A limit without a burst has one of a second: no window is shorter than that.
+    fn burst(self) -> f64 {
+        if self.burst >= 1.0 {
+            self.burst
+        } else {
+            self.per_s.max(1.0)
+        }
+    }
+
+    /// Length of a window, in ms.
+    pub fn window_ms(self) -> f64 {
+        (self.burst() / self.per_s * 1000.0).clamp(WINDOW_LEAST_MS, WINDOW_MOST_MS)
+    }
+
+    /// Units that a window holds.
+    fn holds(self) -> f64 {
+        (self.per_s * self.window_ms() / 1000.0).min(self.burst())
+    }
+}
+
+// ---- The counting gateway ---------------------------------------------------------------------------------------
+
+/// One tenant's window.
+struct Window {
+    ends: Millis,
+    units: i64,
+}
+
+/// A total, as the counter answers it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Counted {
+    /// Units in this window, with the charge.
+    pub units: i64,
+    /// What the window holds for those who reach the counter.
+    pub limit: i64,
+    /// What is left of it, in ms.
+    pub left_ms: f64,
+}
+
+/// The counts of all tenants. A holder of the duty begins with none.
+pub struct Counter {
+    began: Millis,
+    windows: BTreeMap<String, Window>,
+}
+
+impl Counter {
+    /// A duty that begins now.
+    pub fn new(now: Millis) -> Self {
+        Counter { began: now, windows: BTreeMap::new() }
+    }
+
+    /// Adds to a tenant's count. None as long as the window may have begun under an earlier holder: what was charged
+    /// there is not known. `heard` tells which share of the gateways can reach the counter.
+    pub fn charge(
+        &mut self, now: Millis, tenant: &str, limit: Limit, units: i64, heard: f64,
+    ) -> Option<Counted> {
+        if limit.per_s <= 0.0 {
+            return Some(Counted { units: 0, limit: i64::MAX, left_ms: 0.0 });
+        }
+        let length = limit.window_ms();
+        if now - self.began < length {
+            return None;
+        }
+        if !self.windows.contains_key(tenant) {
+            self.windows.insert(tenant.to_owned(), Window { ends: now + length, units: 0 });
+        }
+        let window = self.windows.get_mut(tenant)?;
+        if now >= window.ends {
+            let passed = ((now - window.ends) / length).floor();
+            // What was beyond the limit was not sent; it was taken back or will be.
+            *window = Window { ends: window.ends + (passed + 1.0) * length, units: window.units.min(0) };
+        }
+        // A window that was long may end sooner under a new limit.
+        window.ends = window.ends.min(now + length);
+        window.units += units;
+        let holds = limit.holds() * (1.0 - OF_SHARE * (1.0 - heard.clamp(0.0, 1.0)));
+        Some(Counted { units: window.units, limit: holds.floor() as i64, left_ms: window.ends - now })
+    }
+
+    /// Forgets tenants that nobody charges.
+    pub fn sweep(&mut self, now: Millis) {
+        self.windows.retain(|_, window| now - window.ends < IDLE_MS);
+    }
+}
+
+// ---- A gateway that charges -------------------------------------------------------------------------------------
+
+/// What is done with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// It is sent.
+    Pass,
+    /// It is refused; the client may come back after so many ms.
+    Refuse(Millis),
+    /// Charge these units and wait for the total.
+    Charge(i64),
+}
+
+struct Tenant {
+    limit: Limit,
+    /// Units that ride on the next charge.
+    owed: i64,
+    /// The count was past the limit: until then nothing more is charged.
+    over_until: Millis,
+    /// What is left of this gateway's own share, and when that was reckoned.
+    share: (f64, Millis),
+}
+
+/// The counts as one gateway sees them.
+pub struct Tally {
+    tenants: BTreeMap<String, Tenant>,
+    /// Gateways among which the rate is shared where the counter is out of reach.
+    gateways: f64,
+    misses: u32,
+    looks: u32,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        Tally { tenants: BTreeMap::new(), gateways: 1.0, misses: 0, looks: 0 }
+    }
+}
+
+impl Tally {
+    /// So many gateways are known.
+    pub fn gateways(&mut self, gateways: usize) {
+        self.gateways = gateways.max(1) as f64;
+    }
+
+    /// The limits of all tenants. What was counted stays.
+    pub fn limits(&mut self, now: Millis, limits: &BTreeMap<String, Limit>) {
+        self.tenants.retain(|name, _| limits.contains_key(name));
+        for (name, limit) in limits {
+            let limit = *limit;
+            let tenant = self.tenants.entry(name.clone()).or_insert(Tenant {
+                limit,
+                owed: 0,
+                over_until: 0.0,
+                share: (0.0, now),
+            });
+            if tenant.limit != limit {
+                (tenant.limit, tenant.over_until) = (limit, 0.0);
+            }
+        }
+    }
+
+    /// A request of a tenant comes in.
+    pub fn ask(&mut self, now: Millis, tenant: &str) -> Verdict {
+        let Some(of) = self.tenants.get_mut(tenant) else { return Verdict::Pass };
+        if of.limit.per_s <= 0.0 {
+            return Verdict::Pass;
+        }
+        if now < of.over_until {
+            return Verdict::Refuse(of.over_until - now);
+        }
+        if self.misses >= MISSES {
+            self.looks = (self.looks + 1) % LOOK;
+            if self.looks != 0 {
+                return self.share(now, tenant);
+            }
+        }
+        Verdict::Charge(1 + std::mem::take(&mut of.owed))
+    }
+
+    /// The counter answered a charge.
+    pub fn counted(&mut self, now: Millis, tenant: &str, counted: Counted) -> Verdict {
+        self.misses = 0;
+        let Some(of) = self.tenants.get_mut(tenant) else { return Verdict::Pass };
+        if counted.units <= counted.limit {
+            return Verdict::Pass;
+        }
+        // A refused request's unit rides back on the next charge.
+        of.owed -= 1;
+        of.over_until = now + counted.left_ms.clamp(0.0, WINDOW_MOST_MS);
+        Verdict::Refuse(counted.left_ms)
+    }
+
+    /// The counter did not answer in time, or can't vouch: this gateway's own share decides. A charge that was lost is
+    /// made again with the next one only where it surely did not count.
+    pub fn unanswered(&mut self, now: Millis, tenant: &str, lost: Option<i64>) -> Verdict {
+        self.misses = self.misses.saturating_add(1);
+        if let (Some(of), Some(lost)) = (self.tenants.get_mut(tenant), lost) {
+            of.owed += lost - 1;
+        }
+        self.share(now, tenant)
+    }
+
+    /// A request that was charged was not run after all.
+    pub fn settle(&mut self, tenant: &str) {
+        if let Some(of) = self.tenants.get_mut(tenant).filter(|of| of.limit.per_s > 0.0) {
+            of.owed -= 1;
+        }
+    }
+
+    fn share(&mut self, now: Millis, tenant: &str) -> Verdict {
+        let part = OF_SHARE / self.gateways;
+        let Some(of) = self.tenants.get_mut(tenant) else { return Verdict::Pass };
+        let rate = of.limit.per_s * part;
+        let most = (of.limit.burst() * part).max(1.0);
+        let (left, at) = of.share;
+        let left = (left + (now - at).max(0.0) / 1000.0 * rate).min(most);
+        if left < 1.0 {
+            of.share = (left, now);
+            return Verdict::Refuse((1.0 - left) / rate * 1000.0);
+        }
+        of.share = (left - 1.0, now);
+        Verdict::Pass
+    }
+}
--- a/src/plane/backends.rs
+++ b/src/plane/backends.rs
@@ -125,7 +125,7 @@
     let mut surplus = 0;
     let (good, length) = loop {
         match timeout_at(until, reader.peek_head()).await {
-            Ok(Ok(head)) if attempt.own(head) => break ((200..300).contains(&head.status), head.length),
+            Ok(Ok(head)) if attempt.own(head) => break (attempt.judge(head) == Ended::Ok, head.length),
             Ok(Ok(_)) if surplus < SURPLUS_MOST => {}
             Ok(Ok(_)) => return Err(Broke::Halfway),
             Ok(Err(_)) => return Err(broke(reader)),
--- a/src/plane/deadline.rs
+++ b/src/plane/deadline.rs
@@ -24,6 +24,11 @@
 pub struct Deadline(Instant);
 
 impl Stated {
+    /// A client that waits so long, from when it sent the request's last byte.
+    pub fn remaining(wait: Duration) -> Self {
+        Stated { remaining: Some(wait.min(MOST)), until: None }
+    }
+
     /// Reads `X-Remaining-Ms` and `X-Deadline-Unix-Ms`; one of them is needed. The clock that all machines read is
     /// looked at here, once: what it does later moves no deadline.
     pub fn read(headers: &HeaderMap, unix: SystemTime, now: Instant) -> Result<Self, &'static str> {
--- a/src/plane/driver.rs
+++ b/src/plane/driver.rs
@@ -302,8 +302,10 @@
                 }
                 (answer, _) => answer,
             };
+            // What is still out may have run.
+            let course = Course { ran: self.course.ran || self.out(), ..self.course };
             // A client that has just gone needs no answer.
-            let _ = to.send((answer, self.course));
+            let _ = to.send((answer, course));
         }
     }
 }
@@ -548,6 +550,11 @@
         self.handle(&mut self.inner.borrow_mut(), Event::Gateways { present, majority });
     }
 
+    /// The module's clock now, in ms.
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
     /// Discovery told the list, or what changed in it.
     pub fn list(self: &Rc<Self>, full: bool, told: Vec<Told>) {
         let inner = &mut *self.inner.borrow_mut();
