Read the settings again at SIGHUP and when the file changes; bound shares at a hand-over of the count

Ruled out: ignoring SIGHUP; seeds change by it (`seed_turnover`).

Change: a watch on the settings file, by SIGHUP and every 2 s; agents and core processes learn the seeds. A share saves up a fifth of its part of a burst, and a new holder of the count takes half of its first window as used.

--- a/overland/src/agent.rs
+++ b/overland/src/agent.rs
@@ -2,7 +2,7 @@
 
 use crate::link::{self, Incoming, Outgoing};
 use crate::news::{FromAgent, FromProxy, Hello, Pulse, Purpose, ToAgent, ToProxy};
-use crate::settings::Settings;
+use crate::settings::{Settings, Watch};
 use crate::state::State;
 use cherrytally::Millis;
 use eyre::{Result, WrapErr};
@@ -51,7 +51,7 @@
 
 impl Agent {
     /// Runs an agent until it is told to end, and its proxy has ended.
-    pub async fn run(settings: Settings) -> Result<()> {
+    pub async fn run(settings: Settings, mut watch: Watch) -> Result<()> {
         let mut term = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
         let listener = TcpListener::bind(feed(&settings)).await.wrap_err("feed port")?;
         let grace = settings.bounds.grace;
@@ -70,6 +70,14 @@
             agent.know(seed.to_string());
         }
         tokio::task::spawn_local(agent.clone().take_proxy(listener));
+        let learning = agent.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                for seed in watch.changed().await.seeds {
+                    learning.know(seed.to_string());
+                }
+            }
+        });
         term.recv().await;
         log::info!("agent: told to end");
         // The proxy answers what it has taken in; until then it is fed.
--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -9,7 +9,7 @@
     Backend, Change, Charges, Configured, CoreWord, Forwarded, FromAgent, Gateway, Hello, Kind, Numbered,
     Pulse, Purpose, ToAgent, Total, Totals, Whole, Word,
 };
-use crate::settings::Settings;
+use crate::settings::{Settings, Watch};
 use crate::state::{State, Touched};
 use crate::store::Store;
 use crate::tally::{Counter, Limit};
@@ -92,6 +92,8 @@
 /// A core process.
 pub struct Control {
     settings: Settings,
+    /// Core processes that the settings name, as they were last read.
+    seeds: RefCell<Vec<SocketAddr>>,
     me: Name,
     started: Instant,
     store: Store,
@@ -112,7 +114,7 @@
 
 impl Control {
     /// Runs a core process until it is told to end.
-    pub async fn run(settings: Settings) -> Result<()> {
+    pub async fn run(settings: Settings, mut watch: Watch) -> Result<()> {
         let address = settings.control.ok_or_else(|| eyre!("network.docks_at.control is missing"))?;
         let folder = settings.data_dir.clone().ok_or_else(|| eyre!("sender.data_dir is missing"))?;
         let mut term = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
@@ -142,6 +144,7 @@
         let seed = fastrand::u64(..);
         let control = Rc::new(Control {
             agreement: RefCell::new(Agreement::new(me.clone(), saved, seed, 0.0)),
+            seeds: RefCell::new(settings.seeds.clone()),
             settings,
             me,
             started: Instant::now(),
@@ -166,6 +169,12 @@
             let listener = TcpListener::bind(directory).await.wrap_err("directory address")?;
             tokio::task::spawn_local(control.clone().take_calls(listener));
         }
+        let learning = control.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                *learning.seeds.borrow_mut() = watch.changed().await.seeds;
+            }
+        });
         let ticking = control.clone();
         tokio::task::spawn_local(async move {
             let mut ticks = 0u32;
@@ -322,7 +331,8 @@
         let now = self.now();
         let member = self.agreement.borrow().members().contains(&self.me);
         if !member {
-            for seed in &self.settings.seeds {
+            let seeds = self.seeds.borrow().clone();
+            for seed in seeds {
                 self.tell(&seed.to_string(), Some(Word::Join(true)));
             }
         }
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -4,7 +4,7 @@
 use crate::link::{self, Incoming, Outgoing};
 use crate::news::{Charge, Charges, FromProxy, Hello, Purpose, ToProxy, Totals};
 use crate::routes::{Numbers, Route, Stamped, Table, Tenant, Zones};
-use crate::settings::Settings;
+use crate::settings::{Settings, Watch};
 use crate::speech::Wire;
 use crate::state::{State, Touched};
 use crate::tally::{Counted, Tally, Verdict};
@@ -160,7 +160,7 @@
 
 impl Proxy {
     /// Runs a proxy until it is told to end.
-    pub async fn run(settings: Settings) -> Result<()> {
+    pub async fn run(settings: Settings, mut watch: Watch) -> Result<()> {
         let front = settings.front.ok_or_else(|| eyre!("network.docks_at.front is missing"))?;
         let mut term = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
         let listener = TcpListener::bind(front).await.wrap_err("front address")?;
@@ -205,6 +205,13 @@
             let listener = TcpListener::bind(ready).await.wrap_err("ready address")?;
             tokio::task::spawn_local(proxy.clone().tell_ready(listener));
         }
+        // What a proxy goes by in them does not change while it runs; the agent learns the seeds.
+        tokio::task::spawn_local(async move {
+            loop {
+                drop(watch.changed().await);
+                log::info!("proxy: the settings were read again");
+            }
+        });
         let sweeping = proxy.clone();
         tokio::task::spawn_local(async move {
             loop {
--- a/overland/src/settings.rs
+++ b/overland/src/settings.rs
@@ -9,7 +9,8 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use yaml_rust2::{Yaml, YamlLoader};
 
 /// The variable that holds the file's path.
@@ -164,6 +165,48 @@
 /// Largest settings file, in bytes.
 const MOST: u64 = 1 << 20;
 
+/// How often it is looked whether the file has changed: it may without a word.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Tells when the settings file says something else.
+pub struct Watch {
+    file: Option<PathBuf>,
+    hangup: Signal,
+    seen: Option<SystemTime>,
+}
+
+impl Watch {
+    /// Watches the file that the platform names, or another one.
+    pub fn new(file: Option<PathBuf>) -> Result<Self> {
+        let file = file.or_else(|| std::env::var_os(VARIABLE).map(PathBuf::from));
+        let seen = modified(file.as_ref());
+        Ok(Watch { file, hangup: signal(SignalKind::hangup()).wrap_err("SIGHUP")?, seen })
+    }
+
+    /// Waits for other settings. A file that can't be read changes nothing.
+    pub async fn changed(&mut self) -> Settings {
+        loop {
+            let told = tokio::select! {
+                _ = self.hangup.recv() => true,
+                () = tokio::time::sleep(LOOK) => false,
+            };
+            let modified = modified(self.file.as_ref());
+            if !told && modified == self.seen {
+                continue;
+            }
+            self.seen = modified;
+            match Settings::load(self.file.clone()) {
+                Ok(settings) => return settings,
+                Err(e) => log::warn!("settings: {e:#}; what was read before stands"),
+            }
+        }
+    }
+}
+
+fn modified(file: Option<&PathBuf>) -> Option<SystemTime> {
+    std::fs::metadata(file?).ok()?.modified().ok()
+}
+
 impl Settings {
     /// Reads the file that the platform names, or another one.
     pub fn load(file: Option<PathBuf>) -> Result<Self> {
--- a/overland/src/start.rs
+++ b/overland/src/start.rs
@@ -1,6 +1,6 @@
 //! What the programs have in common: their command line, their log, and their start and end.
 
-use crate::settings::Settings;
+use crate::settings::{Settings, Watch};
 use eyre::{eyre, Result};
 use pico_args::Arguments;
 use simplelog::{ConfigBuilder, LevelFilter, SimpleLogger};
@@ -46,7 +46,7 @@
 
 /// Runs a program.
 pub fn main<F: Future<Output = Result<()>>>(
-    program: &str, about: &str, run: impl FnOnce(Settings) -> F,
+    program: &str, about: &str, run: impl FnOnce(Settings, Watch) -> F,
 ) -> ExitCode {
     match started(program, about, run) {
         Ok(()) => ExitCode::SUCCESS,
@@ -58,7 +58,7 @@
 }
 
 fn started<F: Future<Output = Result<()>>>(
-    program: &str, about: &str, run: impl FnOnce(Settings) -> F,
+    program: &str, about: &str, run: impl FnOnce(Settings, Watch) -> F,
 ) -> Result<()> {
     let (wanted, level) = read(program, about)?;
     let file = match wanted {
@@ -79,7 +79,11 @@
         .set_thread_level(LevelFilter::Off)
         .set_target_level(LevelFilter::Off);
     SimpleLogger::init(level, config.build())?;
-    let settings = Settings::load(file)?;
+    let settings = Settings::load(file.clone())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    tokio::task::LocalSet::new().block_on(&runtime, run(settings))
+    // Signals are heard from within.
+    tokio::task::LocalSet::new().block_on(&runtime, async move {
+        let watch = Watch::new(file)?;
+        run(settings, watch).await
+    })
 }
--- a/overland/src/tally.rs
+++ b/overland/src/tally.rs
@@ -11,6 +11,11 @@
 
 /// A share is so much of an even part of the rate: gateways that come up unknown have one, too.
 const OF_SHARE: f64 = 0.9;
+/// A share saves up so much of its part of a burst: what was granted by the counter just before is not forgotten.
+const SHARE_BURST: f64 = 0.2;
+/// Of its first window a new holder of the duty takes so much as charged: the last window of the one before may have
+/// been used up at its end, and shares were used since.
+const BEFORE: f64 = 0.5;
 /// Shortest window, in ms: charges have a way to go.
 const WINDOW_LEAST_MS: f64 = 200.0;
 /// Longest window, in ms.
@@ -96,7 +101,10 @@
             return None;
         }
         if !self.windows.contains_key(tenant) {
-            self.windows.insert(tenant.to_owned(), Window { ends: now + length, units: 0 });
+            // A tenant that comes later has its whole allowance.
+            let first = now - self.began < 2.0 * length;
+            let units = if first { (limit.holds() * BEFORE).ceil() as i64 } else { 0 };
+            self.windows.insert(tenant.to_owned(), Window { ends: now + length, units });
         }
         let window = self.windows.get_mut(tenant)?;
         if now >= window.ends {
@@ -230,7 +238,7 @@
         let part = OF_SHARE / self.gateways;
         let Some(of) = self.tenants.get_mut(tenant) else { return Verdict::Pass };
         let rate = of.limit.per_s * part;
-        let most = (of.limit.burst() * part).max(1.0);
+        let most = (of.limit.burst() * part * SHARE_BURST).max(1.0);
         let (left, at) = of.share;
         let left = (left + (now - at).max(0.0) / 1000.0 * rate).min(most);
         if left < 1.0 {
