Take units back from their own window alone; refuse early only what is expected past its aim

Cause: units of refused requests rode back on a charge in the next window, which began at nought and so granted them again. And the early refusal reckons with what an answer takes of its aim: from the south a reservation crosses a region twice, which is no queue.

Ruled out: charges that come late (they count and pass by shares, which is the safe side); the burst of shares (bounded before).

Change: windows have numbers, a charge names the window from which it takes back, and the counter takes back in that one alone. `early_of_aim` is a rule of the settings; the system's proxy says 1.2, in service it stays.

--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -6,13 +6,13 @@
 use crate::config::{Config, Envelope, Invalid};
 use crate::link::{self, Incoming, Outgoing};
 use crate::news::{
-    Backend, Change, Charges, Configured, CoreWord, Forwarded, FromAgent, Gateway, Hello, Kind, Numbered,
-    Pulse, Purpose, ToAgent, Total, Totals, Whole, Word,
+    Backend, Change, Charge, Charges, Configured, CoreWord, Forwarded, FromAgent, Gateway, Hello, Kind,
+    Numbered, Pulse, Purpose, ToAgent, Total, Totals, Whole, Word,
 };
 use crate::settings::{Settings, Watch};
 use crate::state::{State, Touched};
 use crate::store::Store;
-use crate::tally::{Counter, Limit};
+use crate::tally::{self, Counter, Limit};
 use cherrytally::Millis;
 use eyre::{eyre, Result, WrapErr};
 use http_body_util::{BodyExt, Full, Limited};
@@ -266,7 +266,7 @@
                     self.agreement.borrow().term()
                 );
                 let now = self.now();
-                let counter = leads.then(|| Counter::new(now));
+                let counter = leads.then(|| Counter::new(now, self.agreement.borrow().term()));
                 *self.leading.borrow_mut() = Leading { since: now, counter, ..Leading::default() };
                 self.take_limits();
                 if !leads {
@@ -738,10 +738,18 @@
             for charge in &charges {
                 let limit = limits.get(&charge.tenant).copied().unwrap_or_default();
                 let counted = counter.as_mut().filter(|_| vouches);
-                let counted = counted.and_then(|c| c.charge(now, &charge.tenant, limit, charge.units, heard));
+                let counted = counted.and_then(|c| {
+                    let Charge { units, back, window, .. } = *charge;
+                    c.charge(now, &charge.tenant, limit, tally::Charge { units, back, window }, heard)
+                });
                 let Some(counted) = counted else { break };
                 let left_ms = counted.left_ms.ceil().max(0.0) as u32;
-                totals.push(Total { units: counted.units, limit: counted.limit, left_ms });
+                totals.push(Total {
+                    units: counted.units,
+                    limit: counted.limit,
+                    left_ms,
+                    window: counted.window,
+                });
             }
             drop(leading);
             let sure = totals.len() == charges.len();
--- a/overland/src/news.rs
+++ b/overland/src/news.rs
@@ -249,9 +249,15 @@
     /// The tenant.
     #[prost(string, tag = "1")]
     pub tenant: String,
-    /// Units; below nought where earlier ones are taken back.
-    #[prost(sint64, tag = "2")]
-    pub units: i64,
+    /// Units of requests to be sent.
+    #[prost(uint64, tag = "2")]
+    pub units: u64,
+    /// Units of requests that were not sent after all, to be taken off the window in which they were charged.
+    #[prost(uint64, tag = "3")]
+    pub back: u64,
+    /// That window.
+    #[prost(uint64, tag = "4")]
+    pub window: u64,
 }
 
 /// Totals of the counting gateway.
@@ -280,6 +286,9 @@
     /// What is left of the window, in ms.
     #[prost(uint32, tag = "3")]
     pub left_ms: u32,
+    /// The window's number.
+    #[prost(uint64, tag = "4")]
+    pub window: u64,
 }
 
 /// The first message on a connection: who calls, and what for.
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -7,7 +7,7 @@
 use crate::settings::{Settings, Watch};
 use crate::speech::Wire;
 use crate::state::{State, Touched};
-use crate::tally::{Counted, Tally, Verdict};
+use crate::tally::{self, Counted, Tally, Verdict};
 use bytes::BytesMut;
 use cherrytally::plane::backends::Backends;
 use cherrytally::plane::deadline::Stated;
@@ -66,13 +66,16 @@
 const ACCEPT_ON: f64 = 0.45;
 /// And what is open may end within this share of the time that is granted.
 const ANSWERED: f64 = 0.92;
+/// A request is refused early if it is expected to take more than this share of its aim: an answer that is a little late
+/// still earns something, and far places take longer without a queue.
+const EARLY_OF_AIM: f64 = 1.2;
 /// Between two tries to reach another process.
 const AGAIN: Duration = Duration::from_millis(100);
 
 /// A charge on its way.
 struct Charging {
     tenant: String,
-    units: i64,
+    charge: tally::Charge,
     answer: oneshot::Sender<Option<Counted>>,
 }
 
@@ -459,6 +462,7 @@
                             units: total.units,
                             limit: total.limit,
                             left_ms: f64::from(total.left_ms),
+                            window: total.window,
                         });
                         // It may have waited long enough.
                         let _ = answer.send(counted);
@@ -468,8 +472,8 @@
                     let Some(first) = first else { return };
                     let (mut charges, mut answers) = (Vec::new(), Vec::new());
                     let mut next = Some(first);
-                    while let Some(Charging { tenant, units, answer }) = next {
-                        charges.push(Charge { tenant, units });
+                    while let Some(Charging { tenant, charge: tally::Charge { units, back, window }, answer }) = next {
+                        charges.push(Charge { tenant, units, back, window });
                         answers.push(answer);
                         next = charging.try_recv().ok();
                     }
@@ -487,9 +491,9 @@
     /// The ordinary path's first step: a request's unit is added to its tenant's count.
     async fn admit(&self, tenant: &Tenant, target: Duration) -> Verdict {
         let asked = self.tally.borrow_mut().ask(self.now(), &tenant.name);
-        let Verdict::Charge(units) = asked else { return asked };
+        let Verdict::Charge(charge) = asked else { return asked };
         let (answer, total) = oneshot::channel();
-        let sent = self.charges.send(Charging { tenant: tenant.name.clone(), units, answer });
+        let sent = self.charges.send(Charging { tenant: tenant.name.clone(), charge, answer });
         let total = match sent {
             Ok(()) => timeout(target.mul_f64(COUNT_OF_AIM), total).await,
             Err(_) => Ok(Ok(None)),
@@ -498,9 +502,8 @@
         let now = self.now();
         match total {
             Ok(Ok(Some(counted))) => tally.counted(now, &tenant.name, counted),
-            // Not counted, or by nobody who vouches for it.
-            Ok(_) => tally.unanswered(now, &tenant.name, Some(units)),
-            Err(_) => tally.unanswered(now, &tenant.name, None),
+            // Not counted, by nobody who vouches for it, or not in time.
+            Ok(_) | Err(_) => tally.unanswered(now, &tenant.name),
         }
     }
 
@@ -709,6 +712,7 @@
         },
         rules: Rules {
             cold_from: 0.5,
+            early_of_aim: EARLY_OF_AIM,
             fall_multiple: 2.0,
             fall_ms: 1000.0,
             further: Some(Further {
--- a/overland/src/tally.rs
+++ b/overland/src/tally.rs
@@ -20,6 +20,8 @@
 const WINDOW_LEAST_MS: f64 = 200.0;
 /// Longest window, in ms.
 const WINDOW_MOST_MS: f64 = 60_000.0;
+/// Windows of one term: more than any lives to see.
+const TERM_BITS: u32 = 40;
 /// A tenant that nobody charged for so long is forgotten, in ms.
 const IDLE_MS: f64 = 120_000.0;
 /// After so many calls in a row that were not answered in time requests no longer wait for the counter.
@@ -61,10 +63,22 @@
 
 /// One tenant's window.
 struct Window {
+    number: u64,
     ends: Millis,
     units: i64,
 }
 
+/// A charge: units of requests to be sent, and those of earlier ones that were not sent after all.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Charge {
+    /// Units.
+    pub units: u64,
+    /// Units taken back.
+    pub back: u64,
+    /// From the window of this number.
+    pub window: u64,
+}
+
 /// A total, as the counter answers it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Counted {
@@ -74,27 +88,30 @@
     pub limit: i64,
     /// What is left of it, in ms.
     pub left_ms: f64,
+    /// The window's number: no two windows of any holder have the same.
+    pub window: u64,
 }
 
 /// The counts of all tenants. A holder of the duty begins with none.
 pub struct Counter {
     began: Millis,
+    next: u64,
     windows: BTreeMap<String, Window>,
 }
 
 impl Counter {
-    /// A duty that begins now.
-    pub fn new(now: Millis) -> Self {
-        Counter { began: now, windows: BTreeMap::new() }
+    /// A duty that begins now, in this term.
+    pub fn new(now: Millis, term: u64) -> Self {
+        Counter { began: now, next: term << TERM_BITS, windows: BTreeMap::new() }
     }
 
     /// Adds to a tenant's count. None as long as the window may have begun under an earlier holder: what was charged
     /// there is not known. `heard` tells which share of the gateways can reach the counter.
     pub fn charge(
-        &mut self, now: Millis, tenant: &str, limit: Limit, units: i64, heard: f64,
+        &mut self, now: Millis, tenant: &str, limit: Limit, charge: Charge, heard: f64,
     ) -> Option<Counted> {
         if limit.per_s <= 0.0 {
-            return Some(Counted { units: 0, limit: i64::MAX, left_ms: 0.0 });
+            return Some(Counted { units: 0, limit: i64::MAX, left_ms: 0.0, window: 0 });
         }
         let length = limit.window_ms();
         if now - self.began < length {
@@ -104,19 +121,29 @@
             // A tenant that comes later has its whole allowance.
             let first = now - self.began < 2.0 * length;
             let units = if first { (limit.holds() * BEFORE).ceil() as i64 } else { 0 };
-            self.windows.insert(tenant.to_owned(), Window { ends: now + length, units });
+            self.next += 1;
+            self.windows.insert(tenant.to_owned(), Window { number: self.next, ends: now + length, units });
         }
         let window = self.windows.get_mut(tenant)?;
         if now >= window.ends {
             let passed = ((now - window.ends) / length).floor();
-            // What was beyond the limit was not sent; it was taken back or will be.
-            *window = Window { ends: window.ends + (passed + 1.0) * length, units: window.units.min(0) };
+            self.next += 1;
+            *window = Window { number: self.next, ends: window.ends + (passed + 1.0) * length, units: 0 };
         }
         // A window that was long may end sooner under a new limit.
         window.ends = window.ends.min(now + length);
-        window.units += units;
+        window.units += charge.units as i64;
+        if charge.window == window.number {
+            // What was charged in a window that is over is over with it.
+            window.units -= charge.back as i64;
+        }
         let holds = limit.holds() * (1.0 - OF_SHARE * (1.0 - heard.clamp(0.0, 1.0)));
-        Some(Counted { units: window.units, limit: holds.floor() as i64, left_ms: window.ends - now })
+        Some(Counted {
+            units: window.units,
+            limit: holds.floor() as i64,
+            left_ms: window.ends - now,
+            window: window.number,
+        })
     }
 
     /// Forgets tenants that nobody charges.
@@ -134,14 +161,14 @@
     Pass,
     /// It is refused; the client may come back after so many ms.
     Refuse(Millis),
-    /// Charge these units and wait for the total.
-    Charge(i64),
+    /// Charge this and wait for the total.
+    Charge(Charge),
 }
 
 struct Tenant {
     limit: Limit,
-    /// Units that ride on the next charge.
-    owed: i64,
+    /// Units that the next charge takes back, and the window in which they were charged.
+    back: (u64, u64),
     /// The count was past the limit: until then nothing more is charged.
     over_until: Millis,
     /// What is left of this gateway's own share, and when that was reckoned.
@@ -176,7 +203,7 @@
             let limit = *limit;
             let tenant = self.tenants.entry(name.clone()).or_insert(Tenant {
                 limit,
-                owed: 0,
+                back: (0, 0),
                 over_until: 0.0,
                 share: (0.0, now),
             });
@@ -201,36 +228,37 @@
                 return self.share(now, tenant);
             }
         }
-        Verdict::Charge(1 + std::mem::take(&mut of.owed))
+        let (back, window) = std::mem::take(&mut of.back);
+        of.back.1 = window;
+        Verdict::Charge(Charge { units: 1, back, window })
     }
 
     /// The counter answered a charge.
     pub fn counted(&mut self, now: Millis, tenant: &str, counted: Counted) -> Verdict {
         self.misses = 0;
         let Some(of) = self.tenants.get_mut(tenant) else { return Verdict::Pass };
+        if of.back.1 < counted.window {
+            of.back = (0, counted.window);
+        }
         if counted.units <= counted.limit {
             return Verdict::Pass;
         }
         // A refused request's unit rides back on the next charge.
-        of.owed -= 1;
+        of.back.0 += u64::from(of.back.1 == counted.window);
         of.over_until = now + counted.left_ms.clamp(0.0, WINDOW_MOST_MS);
         Verdict::Refuse(counted.left_ms)
     }
 
-    /// The counter did not answer in time, or can't vouch: this gateway's own share decides. A charge that was lost is
-    /// made again with the next one only where it surely did not count.
-    pub fn unanswered(&mut self, now: Millis, tenant: &str, lost: Option<i64>) -> Verdict {
+    /// The counter did not answer in time, or can't vouch: this gateway's own share decides.
+    pub fn unanswered(&mut self, now: Millis, tenant: &str) -> Verdict {
         self.misses = self.misses.saturating_add(1);
-        if let (Some(of), Some(lost)) = (self.tenants.get_mut(tenant), lost) {
-            of.owed += lost - 1;
-        }
         self.share(now, tenant)
     }
 
     /// A request that was charged was not run after all.
     pub fn settle(&mut self, tenant: &str) {
         if let Some(of) = self.tenants.get_mut(tenant).filter(|of| of.limit.per_s > 0.0) {
-            of.owed -= 1;
+            of.back.0 += 1;
         }
     }
 
--- a/src/bin/cherrytally-benchlink/setup.rs
+++ b/src/bin/cherrytally-benchlink/setup.rs
@@ -91,6 +91,7 @@
             fall_multiple: text.number("rules.fall-multiple")?,
             fall_ms: text.number("rules.fall-ms")?,
             ask_within_ms: text.number("rules.ask-within-ms")?,
+            early_of_aim: 0.0,
             further: None,
         },
         reports: text.word(
--- a/src/bin/heronstage/config/mod.rs
+++ b/src/bin/heronstage/config/mod.rs
@@ -329,6 +329,7 @@
             fall_multiple: form.rules.fall_multiple,
             fall_ms: form.rules.fall_after.0,
             ask_within_ms: form.rules.ask_within.0,
+            early_of_aim: 0.0,
             further: None,
         },
         // The module reads no load reports, so none are taken in.
--- a/src/choice/admission.rs
+++ b/src/choice/admission.rs
@@ -47,7 +47,9 @@
             }
             return self.beyond(now, id, actions);
         }
-        if self.expected(now, id) > EARLY_OF_AIM * aim.max(0.0) {
+        let early =
+            Some(self.settings.rules.early_of_aim).filter(|early| *early > 0.0).unwrap_or(EARLY_OF_AIM);
+        if self.expected(now, id) > early * aim.max(0.0) {
             self.flow_of(pool).crowded_at = now;
             self.told.crowded += 1;
             return self.finish(id, self.usual[class].0, Reason::Room, actions);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -170,6 +170,8 @@
     pub fall_ms: f64,
     /// Where the list is asked for: longest time between two askings, in ms.
     pub ask_within_ms: f64,
+    /// A request is refused early if its expected time passes this share of what is left of its aim; 0 for the usual.
+    pub early_of_aim: f64,
     /// What limits further attempts, where the site says so.
     pub further: Option<Further>,
 }
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -34,6 +34,7 @@
             fall_multiple: 3.0,
             fall_ms: 1000.0,
             ask_within_ms: 10_000.0,
+            early_of_aim: 0.0,
             further: None,
         },
         ..Settings::default()
