Come back sooner after all lose power: ask for votes again, and let requests wait for a start

A log of the recovery: 1.2 s from the second core process to a leader, up to 0.4 s until agents heard of it, and meanwhile each request was refused at once, its client's one repeat with it.

Ruled out: the disk (fjall opens in 10 ms); the agents' links (up before the leader).

Change: a member asks soon after its start, and again those that have not answered; letters wait for a link that is being opened; a new leader tells all agents at once; a proxy that starts lets requests wait for its first state, 0.4 of their time at most, and refuses when it is cut off later. A tenant's share begins with one request.

--- a/overland/src/agent.rs
+++ b/overland/src/agent.rs
@@ -21,7 +21,7 @@
 /// A core process that says nothing for so long is tried anew.
 const SILENT: Duration = Duration::from_millis(2000);
 /// Between two tries.
-const AGAIN: Duration = Duration::from_millis(250);
+const AGAIN: Duration = Duration::from_millis(150);
 /// A core process that is no member any more is let go after so long without a word of it among the members.
 const LET_GO: Duration = Duration::from_secs(30);
 
--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -25,6 +25,10 @@
 /// Without a word of a leader for between so long, in ms, a member wants to lead. Between zones of one region a word
 /// takes 1 ms, between regions 50; a process may be kept from its processor for some hundred.
 const ELECTION_MS: (f64, f64) = (700.0, 1200.0);
+/// After a start a member asks this long and up to twice as long later whether it would be voted for, in ms.
+const START_MS: f64 = 60.0;
+/// It asks those again that have not answered so long after, in ms: they may just be starting, too.
+const ASK_MS: f64 = 120.0;
 /// A leader may answer for all for so long after it sent what a majority has answered, in ms. Members vote for no other
 /// before the least time above: the difference is for clocks that run at different rates.
 const LEASE_MS: f64 = 550.0;
@@ -171,7 +175,8 @@
             log: entries.into(),
             role: Role::Follower(Follow { leader: None }),
             heard: f64::NEG_INFINITY,
-            election: now + ELECTION_MS.0 * 0.5 * (1.0 + rng.f64()),
+            // Whoever leads is asked first whether it does: nobody votes for another while it is heard.
+            election: now + START_MS * (1.0 + rng.f64()),
             forgotten_until: if empty { now + FORGOTTEN_MS } else { now },
             rng,
         }
@@ -351,6 +356,7 @@
                 self.spread(now, true, actions);
             }
             _ if now >= self.election => self.campaign(now, true, false, actions),
+            Role::Candidate(stand) if now - stand.asked >= ASK_MS => self.ask_votes(now, actions),
             _ => {}
         }
     }
@@ -366,14 +372,22 @@
             self.save(None, actions);
         }
         let votes = BTreeSet::from([self.me.clone()]);
-        self.become_role(now, Role::Candidate(role::Stand { pre, votes, named }), actions);
+        self.become_role(now, Role::Candidate(role::Stand { pre, votes, named, asked: now }), actions);
+        self.ask_votes(now, actions);
+        self.count_votes(now, actions);
+    }
+
+    /// Asks those that have not voted for it yet.
+    fn ask_votes(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let Role::Candidate(stand) = &mut self.role else { return };
+        stand.asked = now;
+        let (pre, named, votes) = (stand.pre, stand.named, stand.votes.clone());
         let term = self.vow.term + u64::from(pre);
         let (last, last_term) = (self.last(), self.term_at(self.last()).unwrap_or(0));
-        for to in self.others() {
+        for to in self.others().into_iter().filter(|name| !votes.contains(name)) {
             let say = Say::VoteAsk(VoteAsk { term, last, last_term, pre, named });
             actions.push(Action::Send { to, say });
         }
-        self.count_votes(now, actions);
     }
 
     fn count_votes(&mut self, now: Millis, actions: &mut Vec<Action>) {
--- a/overland/src/agreement/role.rs
+++ b/overland/src/agreement/role.rs
@@ -23,6 +23,8 @@
     pub(super) votes: BTreeSet<Name>,
     /// The leader named it.
     pub(super) named: bool,
+    /// When it last asked.
+    pub(super) asked: Millis,
 }
 
 /// It leads.
--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -31,6 +31,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::Receiver;
 use tokio::sync::{oneshot, Mutex, Notify};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -59,7 +60,7 @@
 /// A backend that left is remembered for so long, in ms: a beat of its may still be on the way.
 const LEFT_MS: Millis = 30_000.0;
 /// Between two tries to reach another process.
-const AGAIN: Duration = Duration::from_millis(200);
+const AGAIN: Duration = Duration::from_millis(100);
 /// A core process that is told to end hands over within this.
 const HAND_OVER: Duration = Duration::from_millis(400);
 
@@ -76,6 +77,8 @@
 #[derive(Default)]
 struct Leading {
     since: Millis,
+    /// The agents were told that it leads.
+    told: bool,
     /// When each backend was last heard, and its last postmark.
     beats: BTreeMap<String, (Millis, u64)>,
     /// Backends that left, and when.
@@ -102,7 +105,7 @@
     leading: RefCell<Leading>,
     /// Who waits for an entry: its number, with the term and where to tell.
     waiting: RefCell<BTreeMap<u64, Waiter>>,
-    peers: RefCell<BTreeMap<Name, Option<Outgoing>>>,
+    peers: RefCell<BTreeMap<Name, Outgoing>>,
     agents: RefCell<BTreeMap<u64, Agent>>,
     passed: RefCell<BTreeMap<u64, oneshot::Sender<Reply>>>,
     next: Cell<u64>,
@@ -224,6 +227,10 @@
         if applied {
             self.compact();
             self.push();
+            let vouches = self.agreement.borrow().vouches(self.now());
+            if vouches && !std::mem::replace(&mut self.leading.borrow_mut().told, true) {
+                self.pulse();
+            }
         }
     }
 
@@ -529,28 +536,30 @@
         let word = CoreWord { from: self.me.clone(), word };
         let mut peers = self.peers.borrow_mut();
         match peers.get(to) {
-            Some(Some(out)) => drop(out.send(&word)),
-            // It is being opened.
-            Some(None) => {}
+            // What finds no room is lost, as it may be on the way.
+            Some(out) => drop(out.send(&word)),
             None => {
                 let Some(addr) = self.inner(to) else { return };
-                peers.insert(to.clone(), None);
-                tokio::task::spawn_local(self.clone().keep_link(to.clone(), addr));
+                let (out, from) = Outgoing::new();
+                out.send(&Hello { purpose: Purpose::Core as i32 });
+                out.send(&word);
+                peers.insert(to.clone(), out);
+                tokio::task::spawn_local(self.clone().keep_link(to.clone(), addr, from));
             }
         }
     }
 
-    async fn keep_link(self: Rc<Self>, to: Name, addr: SocketAddr) {
+    async fn keep_link(self: Rc<Self>, to: Name, addr: SocketAddr, mut from: Receiver<Vec<u8>>) {
         loop {
-            if let Ok(stream) = link::connect(addr).await {
-                let (_read, write) = stream.into_split();
-                let (out, from) = Outgoing::new();
-                out.send(&Hello { purpose: Purpose::Core as i32 });
-                self.peers.borrow_mut().insert(to.clone(), Some(out));
-                link::write(write, from).await;
-                self.peers.borrow_mut().insert(to.clone(), None);
+            match link::connect(addr).await {
+                Ok(stream) => link::write(stream.into_split().1, from).await,
+                Err(_) => sleep(AGAIN).await,
             }
-            sleep(AGAIN).await;
+            // What waited is old by now: those that speak say it anew.
+            let (out, next) = Outgoing::new();
+            out.send(&Hello { purpose: Purpose::Core as i32 });
+            self.peers.borrow_mut().insert(to.clone(), out);
+            from = next;
         }
     }
 
@@ -613,7 +622,7 @@
 
     fn pass_join(self: &Rc<Self>, leader: &Name, name: Name) {
         let peers = self.peers.borrow();
-        if let Some(Some(out)) = peers.get(leader) {
+        if let Some(out) = peers.get(leader) {
             out.send(&CoreWord { from: name, word: Some(Word::Join(true)) });
         }
     }
@@ -694,6 +703,19 @@
         }
     }
 
+    /// Tells all agents at once that it leads, and which change is the last.
+    fn pulse(&self) {
+        let agreement = self.agreement.borrow();
+        let leads = agreement.vouches(self.now());
+        let (term, index, members) =
+            (agreement.term(), self.state.borrow().index, agreement.members().to_vec());
+        for agent in self.agents.borrow().values() {
+            let pulse = Pulse { at: agent.word.at, leads, term, index, members: members.clone() };
+            // Lost, it comes with the next word.
+            agent.to.send(&ToAgent { whole: None, changes: Vec::new(), pulse: Some(pulse) });
+        }
+    }
+
     /// Sends all agents that follow what is new.
     fn push(&self) {
         let numbers: Vec<_> =
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -69,6 +69,8 @@
 /// A request is refused early if it is expected to take more than this share of its aim: an answer that is a little late
 /// still earns something, and far places take longer without a queue.
 const EARLY_OF_AIM: f64 = 1.2;
+/// A request that comes while the process starts waits so long for it, as a share of its client's time.
+const START_OF_WAIT: f64 = 0.4;
 /// Between two tries to reach another process.
 const AGAIN: Duration = Duration::from_millis(100);
 
@@ -130,6 +132,9 @@
     /// The moment of the last word of who leads.
     fresh: Cell<Option<Instant>>,
     told: Notify,
+    /// It was up to date once.
+    has_been: Cell<bool>,
+    news: Notify,
     rng: RefCell<fastrand::Rng>,
 }
 
@@ -199,6 +204,8 @@
             counter: watch::Sender::new(None),
             fresh: Cell::new(None),
             told: Notify::new(),
+            has_been: Cell::new(false),
+            news: Notify::new(),
             rng: RefCell::new(fastrand::Rng::with_seed(seed)),
             settings,
         });
@@ -304,6 +311,10 @@
             let at = Instant::now().checked_sub(Duration::from_secs_f64(age_ms.min(1e9) / 1000.0));
             self.fresh.set(self.fresh.get().max(at));
         }
+        if !self.has_been.get() && self.table.borrow().is_some() && self.in_touch() {
+            self.has_been.set(true);
+            self.news.notify_waiters();
+        }
     }
 
     /// Goes by another configuration from now on.
@@ -560,7 +571,7 @@
 
     async fn answer(self: &Rc<Self>, request: Request<Body>, mut busy: Busy) -> Reply {
         let (parts, body) = request.into_parts();
-        let Some(table) = self.table.borrow().clone() else {
+        let Some(table) = self.started(&parts.headers).await else {
             return refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MS);
         };
         let text = |name: &HeaderName| parts.headers.get(name).and_then(|value| value.to_str().ok());
@@ -578,9 +589,7 @@
             // The key may have been taken away meanwhile.
             return refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MOST_MS);
         }
-        let waits =
-            parts.headers.get("deadline-ms").and_then(|value| value.to_str().ok()?.trim().parse().ok());
-        let waits = waits.map_or(WAITS, Duration::from_millis).min(route.timeout);
+        let waits = waits(&parts.headers).min(route.timeout);
         let (body, more) = match self.body(body, table.body_bytes).await {
             Ok(body) => body,
             Err(reply) => return reply,
@@ -636,6 +645,23 @@
         }
     }
 
+    /// The table, once this process knows the state of the system: requests that come while it starts wait for a part
+    /// of their time.
+    async fn started(&self, headers: &HeaderMap) -> Option<Rc<Table>> {
+        let by = Instant::now() + waits(headers).mul_f64(START_OF_WAIT);
+        loop {
+            let table = self.table.borrow().clone();
+            if table.is_some() && self.in_touch() {
+                return table;
+            }
+            if self.has_been.get() {
+                // It is cut off: another gateway may not be.
+                return table;
+            }
+            timeout_at(by, self.news.notified()).await.ok()?;
+        }
+    }
+
     /// Reads a body: whole if it is small.
     async fn body(
         &self, body: Body, most: u64,
@@ -677,6 +703,12 @@
     }
 }
 
+/// How long a client says that it waits.
+fn waits(headers: &HeaderMap) -> Duration {
+    let waits = headers.get("deadline-ms").and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    waits.map_or(WAITS, Duration::from_millis)
+}
+
 fn short_of(short: Short) -> Reply {
     match short {
         Short::TooLarge => plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
--- a/overland/src/tally.rs
+++ b/overland/src/tally.rs
@@ -205,7 +205,7 @@
                 limit,
                 back: (0, 0),
                 over_until: 0.0,
-                share: (0.0, now),
+                share: (1.0, now),
             });
             if tenant.limit != limit {
                 (tenant.limit, tenant.over_until) = (limit, 0.0);
