Try a silent discovery by place in a round of a second, and wait long only when turned away

Cause: `Backoff` drew every wait from 0.1 s times the fleet's size, whether discovery was silent or turned the try away. Change: silent, each gateway tries once in a round of 3.3 ms a gateway (0.2 to 4 s), at its place; turned away, as before.

--- a/src/bin/heronstage/gateway.rs
+++ b/src/bin/heronstage/gateway.rs
@@ -93,7 +93,7 @@
     let mut settings = config.settings.clone();
     let (figures, mut tables) = (Rc::new(Figures::default()), Tables::default());
     tables.take(&config.classes, &config.plans, &mut settings, &figures)?;
-    let gateways = settings.gateways;
+    let place = (settings.gateways, settings.position);
     let budget = Rc::new(Budget::new(config.memory));
     let reach = Reach {
         backends,
@@ -115,14 +115,7 @@
         let (full, told) = names.told(known);
         driver.list(full, told);
     }
-    tokio::task::spawn_local(discovery::run(
-        places_now,
-        version,
-        gateways,
-        config.seed,
-        names,
-        driver.clone(),
-    ));
+    tokio::task::spawn_local(discovery::run(places_now, version, place, config.seed, names, driver.clone()));
     if let Some(peers) = peers {
         let driver = driver.clone();
         let hears = move |from, body| driver.message(from, body);
