--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -12,7 +12,7 @@
 use crate::settings::{Settings, Watch};
 use crate::state::{State, Touched};
 use crate::store::Store;
-use crate::tally::{self, Counter, Limit};
+use crate::tally::{self, Counter, Limit, COUNTED_MS};
 use cherrytally::Millis;
 use eyre::{eyre, Result, WrapErr};
 use http_body_util::{BodyExt, Full, Limited};
@@ -787,7 +787,7 @@
         let heard = state
             .gateways
             .keys()
-            .filter(|node| leading.gates.get(*node).is_some_and(|(at, _)| now - at < HEARD_MS));
+            .filter(|node| leading.gates.get(*node).is_some_and(|(at, _)| now - at < COUNTED_MS));
         heard.count() as f64 / state.gateways.len().max(1) as f64
     }
 
--- a/overland/src/tally.rs
+++ b/overland/src/tally.rs
@@ -20,6 +20,9 @@
 const WINDOW_LEAST_MS: f64 = 200.0;
 /// Longest window, in ms.
 const WINDOW_MOST_MS: f64 = 60_000.0;
+/// A gateway that the counter did not hear for so long, in ms, goes by its share: what it may use is granted to no other.
+/// Until then both may be used; what a third of the gateways use so is a third of a window.
+pub const COUNTED_MS: Millis = 900.0;
 /// Windows of one term: more than any lives to see.
 const TERM_BITS: u32 = 40;
 /// A tenant that nobody charged for so long is forgotten, in ms.
--- /dev/null
+++ b/overland/tests/tally.rs
@@ -0,0 +1,183 @@
+//! The shared count against a plain record of what was sent: over all gateways and holders of the duty no span of five
+//! seconds may hold more than the limit allows.
+
+use overland::tally::{Charge, Counter, Limit, Tally, Verdict, COUNTED_MS};
+use std::collections::BTreeMap;
+
+const TENANT: &str = "t";
+
+/// What the operators grant in any five seconds, with their tenth and twenty.
+fn granted(limit: Limit) -> f64 {
+    (limit.per_s * 5.0 + limit.burst) * 1.1 + 20.0
+}
+
+/// A gateway with what it waits for: charges on their way and totals on theirs.
+struct Gateway {
+    tally: Tally,
+    cut: bool,
+    heard: f64,
+}
+
+struct World {
+    rng: fastrand::Rng,
+    limit: Limit,
+    gateways: Vec<Gateway>,
+    /// The holder of the duty, if there is one; one that was replaced answers nobody.
+    counter: Option<Counter>,
+    term: u64,
+    sent: Vec<f64>,
+}
+
+impl World {
+    fn new(seed: u64, limit: Limit, gateways: usize) -> Self {
+        let limits = BTreeMap::from([(TENANT.to_owned(), limit)]);
+        let gateway = |_| {
+            let mut tally = Tally::default();
+            tally.gateways(gateways);
+            tally.limits(0.0, &limits);
+            Gateway { tally, cut: false, heard: 0.0 }
+        };
+        let gateways = (0..gateways).map(gateway).collect();
+        let counter = Some(Counter::new(0.0, 1));
+        World { rng: fastrand::Rng::with_seed(seed), limit, gateways, counter, term: 1, sent: Vec::new() }
+    }
+
+    fn heard_share(&self, now: f64) -> f64 {
+        let heard = self.gateways.iter().filter(|gateway| now - gateway.heard < COUNTED_MS).count();
+        heard as f64 / self.gateways.len() as f64
+    }
+
+    /// A request comes to a gateway.
+    fn request(&mut self, now: f64, at: usize) {
+        let share = self.heard_share(now);
+        let gateway = &mut self.gateways[at];
+        let verdict = match gateway.tally.ask(now, TENANT) {
+            Verdict::Charge(charge) => {
+                let counter = self.counter.as_mut().filter(|_| !gateway.cut);
+                match counter.and_then(|c| c.charge(now, TENANT, self.limit, charge, share)) {
+                    // A total may come too late all the same.
+                    Some(counted) if self.rng.f64() < 0.98 => gateway.tally.counted(now, TENANT, counted),
+                    _ => gateway.tally.unanswered(now, TENANT),
+                }
+            }
+            verdict => verdict,
+        };
+        match verdict {
+            Verdict::Pass => self.sent.push(now),
+            Verdict::Refuse(after) => assert!(after >= 0.0 && after <= 60_000.0, "{after}"),
+            Verdict::Charge(_) => unreachable!("it was charged"),
+        }
+    }
+
+    /// Plays on with so many times the rate asked.
+    fn pass(&mut self, from: f64, until: f64, times: f64) {
+        let mut now = from;
+        while now < until {
+            now += -self.rng.f64().max(1e-9).ln() * 1000.0 / (self.limit.per_s * times);
+            for gateway in &mut self.gateways {
+                if !gateway.cut {
+                    gateway.heard = now;
+                }
+            }
+            let at = self.rng.usize(0..self.gateways.len());
+            self.request(now, at);
+        }
+    }
+
+    fn most_in_five_seconds(&self) -> f64 {
+        let mut first = 0;
+        let mut most = 0;
+        for last in 0..self.sent.len() {
+            while self.sent[last] - self.sent[first] > 5000.0 {
+                first += 1;
+            }
+            most = most.max(last + 1 - first);
+        }
+        most as f64
+    }
+}
+
+#[test]
+fn no_span_holds_more_than_the_limit_whoever_counts() {
+    bolero::check!().with_iterations(150).with_type::<u64>().for_each(|seed| {
+        let mut rng = fastrand::Rng::with_seed(*seed);
+        let per_s = 10.0 + rng.f64() * 300.0;
+        let limit = Limit { per_s, burst: per_s };
+        let gateways = 3 + rng.usize(0..12);
+        let mut w = World::new(*seed, limit, gateways);
+        let mut now = 0.0;
+        for _ in 0..6 {
+            match rng.u32(0..4) {
+                // The duty goes to another, at once or after a gap.
+                0 => {
+                    w.counter = None;
+                    let gap = rng.f64() * 1500.0;
+                    w.pass(now, now + gap, 6.0);
+                    now += gap;
+                    w.term += 1;
+                    w.counter = Some(Counter::new(now, w.term));
+                }
+                // Some gateways are cut off, three of eight at most, and come back.
+                1 => (0..gateways * 3 / 8).for_each(|at| w.gateways[at].cut = rng.f64() < 0.8),
+                2 => (0..gateways).for_each(|at| w.gateways[at].cut = false),
+                _ => {}
+            }
+            let length = 1000.0 + rng.f64() * 4000.0;
+            w.pass(now, now + length, 0.2 + rng.f64() * 8.0);
+            now += length;
+        }
+        let most = w.most_in_five_seconds();
+        assert!(
+            most <= granted(limit),
+            "{most} sent of {} with {gateways} gateways, {limit:?}",
+            granted(limit)
+        );
+    });
+}
+
+#[test]
+fn a_tenant_inside_its_limit_is_not_refused_while_the_counter_is_well() {
+    let limit = Limit { per_s: 100.0, burst: 100.0 };
+    let mut w = World::new(5, limit, 8);
+    w.pass(3000.0, 33_000.0, 0.6);
+    let asked = 0.6 * 100.0 * 30.0;
+    assert!(w.sent.len() as f64 > 0.97 * asked, "{} of {asked}", w.sent.len());
+}
+
+#[test]
+fn a_hot_tenant_gets_what_its_limit_holds() {
+    let limit = Limit { per_s: 100.0, burst: 100.0 };
+    let mut w = World::new(6, limit, 8);
+    w.pass(3000.0, 33_000.0, 8.0);
+    let limit = 100.0 * 30.0;
+    assert!((w.sent.len() as f64) > 0.85 * limit && (w.sent.len() as f64) < 1.05 * limit, "{}", w.sent.len());
+}
+
+#[test]
+fn units_are_taken_back_from_their_own_window_alone() {
+    let limit = Limit { per_s: 10.0, burst: 10.0 };
+    let mut counter = Counter::new(0.0, 3);
+    let charge = |units, back, window| Charge { units, back, window };
+    let first = counter.charge(2500.0, TENANT, limit, charge(14, 0, 0), 1.0).expect("sure by now");
+    assert_eq!((first.units, first.limit), (14, 10));
+    let same = counter.charge(2600.0, TENANT, limit, charge(1, 4, first.window), 1.0).expect("sure");
+    assert_eq!((same.units, same.window), (11, first.window));
+    let next = counter.charge(3600.0, TENANT, limit, charge(1, 4, first.window), 1.0).expect("sure");
+    assert_eq!(next.units, 1, "what was charged in a window that is over is over with it");
+    assert!(next.window > first.window && next.left_ms <= 1000.0);
+}
+
+#[test]
+fn a_holder_vouches_for_nothing_before_a_window_has_passed() {
+    let limit = Limit { per_s: 10.0, burst: 20.0 };
+    let mut counter = Counter::new(1000.0, 1);
+    let one = Charge { units: 1, ..Charge::default() };
+    assert_eq!(counter.charge(2900.0, TENANT, limit, one, 1.0), None);
+    let counted = counter.charge(3100.0, TENANT, limit, one, 1.0).expect("a window has passed");
+    assert!(counted.units > 1 && counted.units <= counted.limit, "a part of the first is taken as used");
+    // Without a limit there is nothing to count.
+    assert!(counter.charge(1000.0, TENANT, Limit::default(), one, 1.0).is_some());
+    // What others may use unheard is not granted.
+    let half = counter.charge(6000.0, TENANT, limit, one, 0.5).expect("sure");
+    assert!(half.limit < 20 * 6 / 10, "{half:?}");
+}
