--- a/overland/src/link.rs
+++ b/overland/src/link.rs
@@ -17,8 +17,9 @@
 const MOST: usize = 32 << 20;
 /// Messages that wait to be written. A peer that takes none for so long is dropped, and resumes when it is back.
 const WAITING: usize = 1024;
-/// A connection comes up within this: the farthest region is a few hundred ms away.
-const CONNECT: Duration = Duration::from_millis(800);
+/// A connection comes up within this, or is tried again: the farthest region is some hundred ms away, and a machine that
+/// just got its power back hears only what is sent from then on.
+const CONNECT: Duration = Duration::from_millis(350);
 /// Bytes that are not acknowledged for so long end a connection: a machine behind a cut says nothing.
 const UNHEARD: Duration = Duration::from_millis(2000);
 /// Room for one read.
