--- a/overland/tests/system.rs
+++ b/overland/tests/system.rs
@@ -232,7 +232,7 @@
     for addr in [control(0), inner.as_str(), front.as_str(), ready.as_str()] {
         let mut stream = TcpStream::connect(addr).expect("it listens");
         // It may be cut off in the middle.
-        let _ = stream.write_all(&(0..65_536u32).map(|n| (n * 7919 >> 3) as u8).collect::<Vec<_>>());
+        let _ = stream.write_all(&(0..65_536u32).map(|n| ((n * 7919) >> 3) as u8).collect::<Vec<_>>());
     }
 
     let ask = |path: &str, key: &str| {
