Apply what is saved, limited and decoded in one place each; leave out what nothing uses

Need: a second read of the change. The state's compaction carried out its saves beside `act`; a tenant's limit was made of its two figures in two places, an entry's change decoded in two, the names that a Connection header makes a connection's own read in two ways. Core processes that only follow read each configuration whole for limits that the leader alone goes by.

Ruled out: one type for `Put` and `Patch` (their names and what they make of an envelope are all that they hold); the drain and accept loops of `server.rs` and `proxy.rs`, which want the standing test: they stand in the README's open list.

--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -224,11 +224,6 @@
         self.applied
     }
 
-    /// Its votes and copies count.
-    pub fn counts(&self) -> bool {
-        self.vow.counts
-    }
-
     /// Applied entries behind this number; none if the log no longer holds them all.
     pub fn since(&self, index: u64) -> Option<impl Iterator<Item = &Entry>> {
         let skip = index.checked_sub(self.base.index)? as usize;
--- a/overland/src/config.rs
+++ b/overland/src/config.rs
@@ -1,5 +1,6 @@
 //! The operators' configuration: its form on the wire, what makes one valid, and changes of named items.
 
+use crate::tally::Limit;
 use crate::units;
 use miniserde::json::{Array, Object, Value};
 use miniserde::{Deserialize, Serialize};
@@ -56,6 +57,13 @@
     pub home_regions: Option<Vec<String>>,
 }
 
+impl Patron {
+    /// Its limit.
+    pub fn limit(&self) -> Limit {
+        Limit { per_s: self.per_s.unwrap_or(0.0), burst: self.burst.unwrap_or(0.0) }
+    }
+}
+
 /// A host.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Dock {
--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -1,7 +1,7 @@
 //! A core process: agrees on the state with the others, answers backends and operators, brings news to the agents, and
 //! counts for the gateways while it leads.
 
-use crate::agreement::{Action, Agreement, Event, Letter, Name};
+use crate::agreement::{Action, Agreement, Entry, Event, Letter, Name};
 use crate::calls::{self, Beat, Called, Refusal, Reply, Resolve, Resolved};
 use crate::config::{Config, Envelope, Invalid};
 use crate::link::{self, Incoming, Outgoing};
@@ -251,10 +251,7 @@
                 self.tell(&to, word);
             }
             Action::Apply(entry) => {
-                let change = match Change::decode(&entry.data[..]) {
-                    Ok(change) if !entry.data.is_empty() => Some(change),
-                    _ => None,
-                };
+                let change = change_in(&entry);
                 let touched = self.state.borrow_mut().apply(self.now(), entry.index, change.as_ref());
                 if touched == Touched::Config {
                     self.take_limits();
@@ -287,34 +284,28 @@
         }
     }
 
-    fn compact(&self) {
-        let mut agreement = self.agreement.borrow_mut();
-        if agreement.log_length() < LOG_MOST {
+    fn compact(self: &Rc<Self>) {
+        if self.agreement.borrow().log_length() < LOG_MOST {
             return;
         }
         let state = self.state.borrow().whole(self.now(), true).encode_to_vec();
         let mut actions = Vec::new();
-        agreement.compact(state, &mut actions);
+        self.agreement.borrow_mut().compact(state, &mut actions);
         for action in actions {
-            if let Action::Save(save) = action {
-                if let Err(e) = self.store.save(&save) {
-                    log::error!("core: the disk takes nothing: {e}");
-                    std::process::exit(1);
-                }
-            }
+            self.act(action);
         }
     }
 
+    /// Goes by the limits of the configuration in force. Only who leads counts by them.
     fn take_limits(&self) {
+        if !self.leads() {
+            return;
+        }
         let state = self.state.borrow();
         let config = state.config.as_ref().and_then(|config| Config::read(&config.text).ok());
         let patrons = config.into_iter().flat_map(|config| config.patrons.unwrap_or_default());
-        let limit = |per_s: Option<f64>, burst: Option<f64>| Limit {
-            per_s: per_s.unwrap_or(0.0),
-            burst: burst.unwrap_or(0.0),
-        };
         self.leading.borrow_mut().limits =
-            patrons.map(|patron| (patron.name, limit(patron.per_s, patron.burst))).collect();
+            patrons.map(|patron| (patron.name.clone(), patron.limit())).collect();
     }
 
     /// Wants a change, and waits until it is agreed on.
@@ -737,10 +728,7 @@
         let entries = agreement.since(agent.sent).filter(|_| agent.sent > 0);
         let news = match entries {
             Some(entries) => {
-                let changes = entries.map(|entry| Numbered {
-                    index: entry.index,
-                    change: Change::decode(&entry.data[..]).ok().filter(|_| !entry.data.is_empty()),
-                });
+                let changes = entries.map(|entry| Numbered { index: entry.index, change: change_in(entry) });
                 ToAgent { whole: None, changes: changes.collect(), pulse: None }
             }
             None => ToAgent { whole: Some(state.whole(self.now(), false)), changes: Vec::new(), pulse: None },
@@ -854,6 +842,11 @@
     }
 }
 
+/// The change in an entry; none in those of the agreement's own.
+fn change_in(entry: &Entry) -> Option<Change> {
+    Change::decode(&entry.data[..]).ok().filter(|_| !entry.data.is_empty())
+}
+
 fn named(kind: &Kind) -> &str {
     match kind {
         Kind::BackendGone(id) => id,
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -26,7 +26,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -794,10 +794,10 @@
     "tenant",
 ];
 
-/// Names that a `Connection` header makes a connection's own.
-fn listed(headers: &HeaderMap) -> Vec<String> {
-    let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    values.flat_map(|value| value.split(',')).map(|name| name.trim().to_ascii_lowercase()).collect()
+/// Names that the values of `Connection` headers make a connection's own.
+fn listed<'a>(values: impl Iterator<Item = &'a [u8]>) -> Vec<String> {
+    let texts = values.map(|value| String::from_utf8_lossy(value).to_ascii_lowercase());
+    texts.flat_map(|text| text.split(',').map(|name| name.trim().to_owned()).collect::<Vec<_>>()).collect()
 }
 
 /// The request as a backend gets it.
@@ -808,7 +808,7 @@
     let mut head = Vec::with_capacity(512);
     let mut line = |parts: &[&[u8]]| parts.iter().for_each(|part| head.extend_from_slice(part));
     line(&[method.as_str().as_bytes(), b" ", target.as_bytes(), b" HTTP/1.1\r\n"]);
-    let own = listed(headers);
+    let own = listed(headers.get_all(CONNECTION).iter().map(HeaderValue::as_bytes));
     for (name, value) in headers {
         if !OWN.contains(&name.as_str()) && !own.iter().any(|of| of == name.as_str()) {
             line(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
@@ -841,17 +841,16 @@
 fn served(head: &Head, content: Content) -> Reply {
     let mut reply = Response::new(content);
     *reply.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut own: HashMap<String, ()> = HashMap::new();
+    let mut own = Vec::new();
     head.each(|name, value| {
         if name.eq_ignore_ascii_case("connection") {
-            let value = String::from_utf8_lossy(value).to_ascii_lowercase();
-            own.extend(value.split(',').map(|name| (name.trim().to_owned(), ())));
+            own.extend(listed(std::iter::once(value)));
         }
     });
     let headers = reply.headers_mut();
     head.each(|name, value| {
         let kept = !OWN.iter().any(|of| name.eq_ignore_ascii_case(of))
-            && !own.contains_key(&name.to_ascii_lowercase());
+            && !own.iter().any(|of| name.eq_ignore_ascii_case(of));
         let pair = HeaderName::try_from(name).ok().zip(HeaderValue::from_bytes(value).ok()).filter(|_| kept);
         if let Some((name, value)) = pair {
             headers.append(name, value);
--- a/overland/src/routes.rs
+++ b/overland/src/routes.rs
@@ -168,8 +168,7 @@
         let keys = config.patrons.map(|patrons| {
             let mut keys = HashMap::new();
             for patron in patrons {
-                let (per_s, burst) = (patron.per_s.unwrap_or(0.0), patron.burst.unwrap_or(0.0));
-                limits.insert(patron.name.clone(), Limit { per_s, burst });
+                limits.insert(patron.name.clone(), patron.limit());
                 let places = zones.of_regions(patron.home_regions.as_deref());
                 let tenant = Rc::new(Tenant { name: patron.name, places });
                 keys.extend(patron.stamps.into_iter().map(|key| (key, tenant.clone())));
--- a/overland/src/store.rs
+++ b/overland/src/store.rs
@@ -110,9 +110,4 @@
         self.database.persist(PersistMode::SyncAll)?;
         Ok(())
     }
-
-    /// Bytes on disk.
-    pub fn bytes(&self) -> u64 {
-        self.database.disk_space().unwrap_or(0)
-    }
 }
