Begin repeatable requests behind another one on a connection at once, and answer in order

Ruled out: a server loop of our own (parsing and writing HTTP is the library's); the library's pipeline option, which gathers writes alone.

Change: the library reads a connection through a reader that hands it one request at a time. Whole requests without a body that follow are told ahead; those on routes that may run again are begun at once and their answers wait for their turn. What can't be told apart for sure is handed on as before. No answer asks its client to go while something begun behind it is to be answered.

--- a/overland/src/lib.rs
+++ b/overland/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod agent;
 pub mod agreement;
+pub mod ahead;
 pub mod calls;
 pub mod config;
 pub mod control;
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -1,6 +1,7 @@
 //! The proxy: takes clients' requests, charges their tenants, and has the decision module send them.
 
 use crate::agent::feed;
+use crate::ahead::{Ahead, Begun, Front};
 use crate::link::{self, Incoming, Outgoing};
 use crate::news::{Charge, Charges, FromProxy, Hello, Purpose, ToProxy, Totals};
 use crate::routes::{Numbers, Route, Stamped, Table, Tenant, Zones};
@@ -21,6 +22,7 @@
 use eyre::{eyre, Result, WrapErr};
 use hyper::body::Incoming as Body;
 use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
@@ -157,6 +159,13 @@
 /// A request in hand.
 struct Busy(Rc<Proxy>, Option<cherrytally::RequestId>);
 
+impl Busy {
+    fn new(proxy: &Rc<Proxy>) -> Self {
+        proxy.busy.set(proxy.busy.get() + 1);
+        Busy(proxy.clone(), None)
+    }
+}
+
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.busy.set(self.0.busy.get() - 1);
@@ -555,45 +564,72 @@
     async fn connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let idle = self.table.borrow().as_ref().map_or(WHOLE, |table| table.idle);
+        let ahead = Ahead::new();
+        let front = Front::new(stream, ahead.clone(), |parts: &Parts| self.begin(parts));
         let service = service_fn(|request| {
-            let proxy = self.clone();
-            async move { Ok::<_, Infallible>(proxy.reply(request).await) }
+            let (proxy, ahead) = (self.clone(), ahead.clone());
+            async move { Ok::<_, Infallible>(proxy.reply(request, &ahead).await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(idle)
             .max_buf_size(READ)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(front), service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.subscribe();
+        let closes = async {
+            // The sender lives as long as the proxy.
+            let _ = phase.wait_for(|phase| *phase == Phase::Closes).await;
+            ahead.emptied().await;
+        };
         tokio::select! {
             _ = connection.as_mut() => return,
-            _ = phase.wait_for(|phase| *phase == Phase::Closes) => connection.as_mut().graceful_shutdown(),
+            () = closes => connection.as_mut().graceful_shutdown(),
         }
         let _ = connection.await;
     }
 
-    async fn reply(self: &Rc<Self>, request: Request<Body>) -> Reply {
-        self.busy.set(self.busy.get() + 1);
-        let busy = Busy(self.clone(), None);
-        let mut reply = self.answer(request, busy).await;
+    /// Begins a request that came behind another one, if it may run more than once and its client is to stay.
+    fn begin(self: &Rc<Self>, parts: &Parts) -> Option<Begun<Reply>> {
+        let table = self.table.borrow().clone()?;
+        let host = text(&parts.headers, &HOST).unwrap_or("");
+        let route = table.route(host, parts.uri.path()).filter(|route| !route.once)?;
         if *self.phase.borrow() != Phase::Serves {
+            return None;
+        }
+        log::trace!("proxy: class {} begins behind another request", route.class);
+        let (proxy, parts, busy) = (self.clone(), parts.clone(), Busy::new(self));
+        Some(Begun::new(tokio::task::spawn_local(async move { proxy.answer(parts, None, busy).await })))
+    }
+
+    async fn reply(self: &Rc<Self>, request: Request<Body>, ahead: &Ahead<Reply>) -> Reply {
+        let (parts, body) = request.into_parts();
+        let busy = Busy::new(self);
+        let begun = ahead.take(&parts);
+        let mut reply = match begun {
+            Some(begun) => {
+                let failed = || plain(StatusCode::BAD_GATEWAY, "failed; it may have run\n");
+                begun.answer().await.unwrap_or_else(failed)
+            }
+            None => self.answer(parts, Some(body), busy).await,
+        };
+        // What was begun behind it is answered on this connection.
+        if *self.phase.borrow() != Phase::Serves && !ahead.begun() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        ahead.answered();
         reply
     }
 
-    async fn answer(self: &Rc<Self>, request: Request<Body>, mut busy: Busy) -> Reply {
-        let (parts, body) = request.into_parts();
+    async fn answer(self: &Rc<Self>, parts: Parts, body: Option<Body>, mut busy: Busy) -> Reply {
         let Some(table) = self.started(&parts.headers).await else {
             return refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MS);
         };
-        let text = |name: &HeaderName| parts.headers.get(name).and_then(|value| value.to_str().ok());
-        let host = text(&HOST).unwrap_or("");
+        let host = text(&parts.headers, &HOST).unwrap_or("");
         let Some(route) = table.route(host, parts.uri.path()) else {
             return plain(StatusCode::NOT_FOUND, "no such route\n");
         };
-        let key = text(&AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
+        let key = text(&parts.headers, &AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
         let tenant = match table.stamped(&route, key) {
             Stamped::Open => None,
             Stamped::By(tenant) => Some(tenant),
@@ -604,9 +640,12 @@
             return refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MOST_MS);
         }
         let waits = waits(&parts.headers).min(route.timeout);
-        let (body, more) = match self.body(body, table.body_bytes).await {
-            Ok(body) => body,
-            Err(reply) => return reply,
+        let (body, more) = match body {
+            Some(body) => match self.body(body, table.body_bytes).await {
+                Ok(body) => body,
+                Err(reply) => return reply,
+            },
+            None => (BytesMut::new(), None),
         };
         let deadline = Stated::remaining(waits).from(Instant::now());
         if let Some(tenant) = &tenant {
@@ -723,6 +762,10 @@
     }
 }
 
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
 /// How long a client says that it waits.
 fn waits(headers: &HeaderMap) -> Duration {
     let waits = headers.get("deadline-ms").and_then(|value| value.to_str().ok()?.trim().parse().ok());
--- a/overland/tests/system.rs
+++ b/overland/tests/system.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
 /// Longest wait for a condition, far beyond what any takes.
@@ -76,14 +77,16 @@
     }
 }
 
-/// A backend: answers each request with its stamp, and tells what came.
+/// A backend: answers each request with its stamp, and tells what came. Of those that name a pair it answers none before
+/// two are there.
 fn backend() -> (String, Receiver<String>) {
+    let pairs = Arc::new(Barrier::new(2));
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let addr = listener.local_addr().expect("bound").to_string();
     let (to, from) = channel();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let to = to.clone();
+            let (to, pairs) = (to.clone(), pairs.clone());
             std::thread::spawn(move || {
                 let mut reader = BufReader::new(stream);
                 loop {
@@ -110,6 +113,9 @@
                     if reader.read_exact(&mut body).is_err() {
                         return;
                     }
+                    if head.contains("/pair") {
+                        pairs.wait();
+                    }
                     let _ = to.send(head + "\r\n" + &String::from_utf8_lossy(&body));
                     let answer =
                         format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nStamp: s.1\r\nX-Own: 7\r\nContent-Length: 5\r\n\r\nhello");
@@ -173,7 +179,9 @@
         r#"{{"edition":"r{edition}","based_on":"{based_on}","limits":{{"label_bytes":16384,"body_bytes":1048576,"label_time":"3000ms","idle":"15000ms"}},
 "patrons":[{{"name":"t1","stamps":[{keys}],"priority":0,"per_s":1000,"burst":1000,"home_regions":[]}}],
 "docks":[{{"depot":"a.example","regulations":[{{"name":"r-1","kind":"unsafe","target":"2s","priority":1,"unstamped":false,"sorting":{{"lane_prefix":"/x/"}},
-"dispatch":{{"service":"s1","timeout":"5s","attempts":2,"home_regions":[]}}}}]}}],
+"dispatch":{{"service":"s1","timeout":"5s","attempts":2,"home_regions":[]}}}},
+{{"name":"r-2","kind":"safe","target":"2s","priority":1,"unstamped":true,"sorting":{{"lane_prefix":"/s/"}},
+"dispatch":{{"service":"s1","timeout":"30s","attempts":1,"home_regions":[]}}}}]}}],
 "fleets":[{{"name":"s1","health_path":"/health","conn_cap":110,"protocol":"h1","sealed":false,"cold":"3s","cold_per_s":22.0}}]}}"#
     )
 }
@@ -251,6 +259,25 @@
     assert_eq!(ask("/x/1", "k9").map(|a| a.status), Some(401));
     assert_eq!(ask("/y/1", "k1").map(|a| a.status), Some(404));
 
+    // Two behind one another on a connection are at the backend together, and are answered in order.
+    let mut stream = TcpStream::connect(&front).expect("it listens");
+    let pair = |id: u32| {
+        format!("GET /s/pair HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 30000\r\n\r\n")
+    };
+    stream.write_all((pair(1) + &pair(2)).as_bytes()).expect("it reads");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time");
+    let mut text = String::new();
+    until("both answers", || {
+        let mut piece = [0; 1024];
+        let read = stream.read(&mut piece).expect("an answer");
+        assert!(read > 0, "it closed after {text}");
+        text += &String::from_utf8_lossy(&piece[..read]);
+        (text.matches("hello").count() == 2).then_some(())
+    });
+    let (one, two) = (text.find("request-id: 1"), text.find("request-id: 2"));
+    assert!(one.is_some() && one < two, "{text}");
+    (0..2).for_each(|_| drop(came.recv_timeout(PATIENCE)));
+
     // A key that is taken away works nowhere once that is acknowledged.
     until("a key taken away", || put(2, &config(6, "r3", r#""k1""#)).filter(|status| *status == 200));
     until("its end", || ask("/x/1", "k2").filter(|a| a.status == 401));
