--- a/overland/src/ahead.rs
+++ b/overland/src/ahead.rs
@@ -104,7 +104,7 @@
     }
 
     /// The request whose turn it was is answered. True if the next one was told ahead.
-    pub fn next(&mut self) -> bool {
+    pub fn turn(&mut self) -> bool {
         if self.part == Part::Through {
             return false;
         }
@@ -274,7 +274,7 @@
 
     /// The request whose turn it was is answered.
     pub fn answered(&self) {
-        self.told.set(self.splitter.borrow_mut().next());
+        self.told.set(self.splitter.borrow_mut().turn());
         if let Some(waker) = self.reading.take() {
             waker.wake();
         }
--- a/overland/tests/ahead.rs
+++ b/overland/tests/ahead.rs
@@ -54,7 +54,7 @@
             assert!(handed.len() <= ends, "what comes behind waits");
             if handed.len() == ends && rng.bool() {
                 let next = turn + 1;
-                assert_eq!(splitter.next(), told.contains(&next), "whether it was told is known");
+                assert_eq!(splitter.turn(), told.contains(&next), "whether it was told is known");
                 turn = next;
                 ends += requests.get(turn).map_or(0, |(bytes, _)| bytes.len());
             }
@@ -82,7 +82,7 @@
         assert!(splitter.feed(text.as_bytes()).is_empty(), "{head}");
         assert!(hand(&mut splitter, 4096, &mut handed).is_empty(), "{head}");
         assert_eq!(handed, text.as_bytes(), "{head}");
-        assert!(!splitter.next() && splitter.open() == 0);
+        assert!(!splitter.turn() && splitter.open() == 0);
     }
     // One that is told ahead is bounded in number and in bytes.
     let mut splitter = Splitter::default();
