Let a new holder of the count grant what the shares of those it hears bring

Cause: a new holder vouched for nothing before a window had passed under it, and a gateway that had missed two calls asked it only with each eighth request.

Change: its first window holds what those shares have saved and bring, whoever asks; what is not granted is not added and does not ride back.

--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -273,7 +273,9 @@
                     self.agreement.borrow().term()
                 );
                 let now = self.now();
-                let counter = leads.then(|| Counter::new(now, self.agreement.borrow().term()));
+                let counter = leads.then(|| {
+                    Counter::new(now, self.agreement.borrow().term(), self.settings.bounds.quota_slack)
+                });
                 *self.leading.borrow_mut() = Leading { since: now, counter, ..Leading::default() };
                 self.take_limits();
                 if !leads {
@@ -751,7 +753,7 @@
             let Leading { counter, limits, .. } = &mut *leading;
             for charge in &charges {
                 let limit = limits.get(&charge.tenant).copied().unwrap_or_default();
-                let counter = counter.as_mut().filter(|counter| vouches && counter.vouches(now, limit));
+                let counter = counter.as_mut().filter(|_| vouches);
                 let Some(counter) = counter else { break };
                 let Charge { units, back, window, .. } = *charge;
                 let units = tally::Charge { units, back, window };
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -464,6 +464,7 @@
         let (out, from) = Outgoing::new();
         let writing = tokio::task::spawn_local(link::write(write, from));
         out.send(&Hello { purpose: Purpose::Counter as i32 });
+        self.tally.borrow_mut().reached();
         let mut incoming = Incoming::<Totals>::new(read);
         let mut waiting: VecDeque<(u64, Vec<oneshot::Sender<Option<Counted>>>)> = VecDeque::new();
         let mut number = 0;
--- a/overland/src/tally.rs
+++ b/overland/src/tally.rs
@@ -21,6 +21,10 @@
 /// Of its first window a new holder of the duty takes so much as charged: the last window of the one before may have
 /// been used up at its end, and shares were used since.
 const BEFORE: f64 = 0.5;
+/// While a new holder grants by shares who is refused may come back so soon, in ms: more has come by then.
+const SHARES_MS: Millis = 60.0;
+/// And so much of a window may be saved up of what they bring.
+const POOL_BURST: f64 = 0.3;
 /// Units are charged ahead for the requests of so long, in ms, as this gateway has seen them come: a counter in another
 /// region is 110 ms away and back, and a request need not wait for that if its unit is charged already.
 const AHEAD_MS: Millis = 300.0;
@@ -79,6 +83,16 @@
     number: u64,
     ends: Millis,
     units: i64,
+    holds: Holds,
+}
+
+/// What a window holds.
+enum Holds {
+    /// A burst.
+    Burst,
+    /// As long as a window may have begun under an earlier holder: what the shares of the gateways that reach the counter
+    /// bring, as they come. Whoever needs them has them, and no more than these would use each alone.
+    Shares { brought: f64, at: Millis, heard: f64 },
 }
 
 /// A charge: units of requests to be sent, and those of earlier ones that were not sent after all.
@@ -108,20 +122,16 @@
 /// The counts of all tenants. A holder of the duty begins with none.
 pub struct Counter {
     began: Millis,
+    /// Units that all gateways together may send beyond a tenant's limit.
+    slack: f64,
     next: u64,
     windows: BTreeMap<String, Window>,
 }
 
 impl Counter {
     /// A duty that begins now, in this term.
-    pub fn new(now: Millis, term: u64) -> Self {
-        Counter { began: now, next: term << TERM_BITS, windows: BTreeMap::new() }
-    }
-
-    /// Whether it vouches for a tenant's count: not as long as the window may have begun under an earlier holder, as what
-    /// was charged there is not known.
-    pub fn vouches(&self, now: Millis, limit: Limit) -> bool {
-        limit.per_s <= 0.0 || now - self.began >= limit.window_ms()
+    pub fn new(now: Millis, term: u64, slack: f64) -> Self {
+        Counter { began: now, slack, next: term << TERM_BITS, windows: BTreeMap::new() }
     }
 
     /// Adds to a tenant's count. `heard` tells which share of the gateways can reach the counter.
@@ -130,26 +140,49 @@
             return Counted { units: 0, limit: i64::MAX, left_ms: 0.0, window: 0 };
         }
         let length = limit.window_ms();
-        let (began, next) = (self.began, &mut self.next);
+        let heard = heard.clamp(0.0, 1.0);
+        let (began, next, slack) = (self.began, &mut self.next, self.slack);
+        // What was charged before the duty began is not known: shares first, then a window with a part used.
+        let used = if now - began < 2.0 * length { (limit.holds() * BEFORE).ceil() as i64 } else { 0 };
         let window = self.windows.entry(tenant.to_owned()).or_insert_with(|| {
-            // A tenant that comes later has its whole allowance.
-            let units = if now - began < 2.0 * length { (limit.holds() * BEFORE).ceil() as i64 } else { 0 };
             *next += 1;
-            Window { number: *next, ends: now + length, units }
+            let brought = (limit.holds() * SHARE_BURST + slack * OF_SLACK) * heard;
+            let shares = Holds::Shares { brought, at: began, heard };
+            match now - began < length {
+                true => Window { number: *next, ends: began + length, units: 0, holds: shares },
+                // A tenant that comes later has its whole allowance.
+                false => Window { number: *next, ends: now + length, units: used, holds: Holds::Burst },
+            }
         });
         if now >= window.ends {
             let passed = ((now - window.ends) / length).floor();
+            let units = if matches!(window.holds, Holds::Shares { .. }) { used } else { 0 };
             *next += 1;
-            *window = Window { number: *next, ends: window.ends + (passed + 1.0) * length, units: 0 };
+            let ends = window.ends + (passed + 1.0) * length;
+            *window = Window { number: *next, ends, units, holds: Holds::Burst };
         }
         // A window that was long may end sooner under a new limit.
         window.ends = window.ends.min(now + length);
+        if let Holds::Shares { brought, at, heard: before } = &mut window.holds {
+            let rate = limit.per_s * OF_SHARE * heard.min(*before) / 1000.0;
+            let saved = window.units as f64 + limit.holds() * POOL_BURST;
+            *brought = (*brought + (now - *at).max(0.0) * rate).min(saved.max(*brought));
+            (*at, *before) = (now, heard);
+            let limit = *brought as i64;
+            let granted = charge.units.min(u64::try_from(limit - window.units).unwrap_or(0));
+            // What is not granted is not added, as it would keep others from what comes: nothing of it rides back.
+            window.units += granted as i64;
+            let left_ms = window.ends - now;
+            let soon = if granted < charge.units { left_ms.min(SHARES_MS) } else { left_ms };
+            let units = window.units + (charge.units - granted) as i64;
+            return Counted { units, limit: limit.max(window.units), left_ms: soon, window: window.number };
+        }
         window.units += charge.units as i64;
         if charge.window == window.number {
             // What was charged in a window that is over is over with it.
             window.units -= charge.back as i64;
         }
-        let holds = limit.holds() * (1.0 - OF_SHARE * (1.0 - heard.clamp(0.0, 1.0)));
+        let holds = limit.holds() * (1.0 - OF_SHARE * (1.0 - heard));
         let (units, left_ms, number) = (window.units, window.ends - now, window.number);
         Counted { units, limit: holds.floor() as i64, left_ms, window: number }
     }
@@ -217,6 +250,11 @@
         Tally { tenants: BTreeMap::new(), gateways: 1.0, slack, misses: 0, looks: 0 }
     }
 
+    /// A connection to the counter is open: requests wait for it again.
+    pub fn reached(&mut self) {
+        self.misses = 0;
+    }
+
     /// So many gateways are known.
     pub fn gateways(&mut self, gateways: usize) {
         self.gateways = gateways.max(1) as f64;
