Begin a new holder's count with three tenths of a window

Need: after all processes are killed clients come back together, and what the shares have saved is used up in a moment.

--- a/overland/src/tally.rs
+++ b/overland/src/tally.rs
@@ -23,7 +23,8 @@
 const BEFORE: f64 = 0.5;
 /// While a new holder grants by shares who is refused may come back so soon, in ms: more has come by then.
 const SHARES_MS: Millis = 60.0;
-/// And so much of a window may be saved up of what they bring.
+/// And so much of a window it begins with, and may be saved up of what they bring: all start anew at once now and then,
+/// and their clients come back together.
 const POOL_BURST: f64 = 0.3;
 /// Units are charged ahead for the requests of so long, in ms, as this gateway has seen them come: a counter in another
 /// region is 110 ms away and back, and a request need not wait for that if its unit is charged already.
@@ -146,7 +147,7 @@
         let used = if now - began < 2.0 * length { (limit.holds() * BEFORE).ceil() as i64 } else { 0 };
         let window = self.windows.entry(tenant.to_owned()).or_insert_with(|| {
             *next += 1;
-            let brought = (limit.holds() * SHARE_BURST + slack * OF_SLACK) * heard;
+            let brought = (limit.holds() * POOL_BURST + slack * OF_SLACK) * heard;
             let shares = Holds::Shares { brought, at: began, heard };
             match now - began < length {
                 true => Window { number: *next, ends: began + length, units: 0, holds: shares },
