Compare copies of the state by digests, show the system as a table, and hand over from a slow disk

Change: the state has ranges (the configuration, emptied zones, a cell for each zone) with digests. Leader and core processes, leader and agents, agents and proxies compare them at the same number, and what differs is replaced, that alone. 'status' asks the core processes and prints who leads, copies, gateways with what they lag, backends, counts.

Ruled out: a digest in the log (a sync each); the whole copy anew (at 410 routes some 100 kB to each gateway).

Tests: 500 damaged copies against the plain way; the table on real processes; the disk's pace.

--- a/overland/src/agent.rs
+++ b/overland/src/agent.rs
@@ -1,9 +1,9 @@
 //! The agent beside a proxy: keeps links to all core processes, follows the one that leads, and feeds the proxy.
 
 use crate::link::{self, Incoming, Outgoing};
-use crate::news::{FromAgent, FromProxy, Gateway, Hello, Pulse, Purpose, ToAgent, ToProxy};
+use crate::news::{FromAgent, FromProxy, Gateway, Hello, Mend, Pulse, Purpose, ToAgent, ToProxy};
 use crate::settings::{Settings, Watch};
-use crate::state::State;
+use crate::state::{Digest, State};
 use cherrytally::Millis;
 use eyre::{Result, WrapErr};
 use std::cell::{Cell, RefCell};
@@ -37,6 +37,9 @@
     settings: Settings,
     started: Instant,
     state: RefCell<Option<State>>,
+    digest: Digest,
+    /// The copy differs from the leader's: its ranges are to be told.
+    differs: Cell<bool>,
     /// What the proxy last told.
     proxy: RefCell<FromProxy>,
     /// Where the proxy hears.
@@ -61,6 +64,8 @@
             settings,
             started: Instant::now(),
             state: RefCell::default(),
+            digest: Digest::default(),
+            differs: Cell::new(false),
             proxy: RefCell::default(),
             to_proxy: RefCell::default(),
             cores: RefCell::default(),
@@ -180,11 +185,17 @@
             at: self.now(),
             follows,
             applied: proxy.held,
+            ranges: self
+                .state
+                .borrow()
+                .as_ref()
+                .filter(|_| follows && self.differs.take())
+                .map(State::ranges),
         }
     }
 
     fn hear(self: &Rc<Self>, core: &str, news: ToAgent) {
-        let ToAgent { whole, changes, pulse } = news;
+        let ToAgent { whole, changes, pulse, mend } = news;
         let now = self.now();
         let before = self.held();
         if let Some(whole) = whole.filter(|whole| whole.index > before) {
@@ -200,7 +211,10 @@
             }
             self.told.notify_waiters();
         }
-        let Some(Pulse { at, leads, term, index, members }) = pulse else { return };
+        if let Some(mend) = mend {
+            self.mend(mend);
+        }
+        let Some(Pulse { at, leads, term, index, members, digest }) = pulse else { return };
         for member in members {
             self.know(member);
         }
@@ -217,12 +231,31 @@
                 self.told.notify_waiters();
             }
         }
+        let differs = self
+            .state
+            .borrow()
+            .as_ref()
+            .is_some_and(|state| digest != 0 && state.index == index && self.digest.of(state) != digest);
+        if differs && !self.differs.replace(true) {
+            log::warn!("agent: the copy of change {index} differs from the leader's");
+            self.told.notify_waiters();
+        }
         if self.held() >= index {
             self.fresh.set(Some(self.fresh.get().map_or(at, |fresh| fresh.max(at))));
         }
         self.feed(ToProxy::default());
     }
 
+    /// Ranges of the copy are replaced by the leader's.
+    fn mend(&self, mend: Mend) {
+        let names = mend.names.join(", ");
+        let mended = self.state.borrow_mut().as_mut().is_some_and(|state| state.mend(self.now(), mend));
+        if mended {
+            log::warn!("agent: mended: {names}");
+            self.digest.forget();
+        }
+    }
+
     // ---- The proxy ------------------------------------------------------------------------------------------------
 
     fn feed(&self, news: ToProxy) {
@@ -233,6 +266,8 @@
             counter: counter.unwrap_or_default(),
             term: leader.as_ref().map_or(0, |(_, term)| *term),
             age_ms: self.fresh.get().map_or(-1.0, |fresh| self.now() - fresh),
+            index: self.held(),
+            digest: self.state.borrow().as_ref().map_or(0, |state| self.digest.of(state)),
             ..news
         };
         if let Some(to) = &*self.to_proxy.borrow() {
@@ -259,7 +294,12 @@
         *self.to_proxy.borrow_mut() = Some(out);
         let whole = self.state.borrow().as_ref().map(|state| state.whole(self.now(), false));
         self.feed(ToProxy { whole, ..ToProxy::default() });
-        while let Ok(word) = incoming.next().await {
+        while let Ok(mut word) = incoming.next().await {
+            let ranges = word.ranges.take();
+            let mend = self.state.borrow().as_ref().and_then(|s| s.mend_for(self.now(), ranges.as_ref()?));
+            if mend.is_some() {
+                self.feed(ToProxy { mend, ..ToProxy::default() });
+            }
             let changed = {
                 let mut proxy = self.proxy.borrow_mut();
                 let changed = *proxy != word;
--- a/overland/src/calls.rs
+++ b/overland/src/calls.rs
@@ -4,6 +4,7 @@
 use crate::config::{Envelope, Invalid};
 use crate::control::Control;
 use crate::news::{Backend, Evacuated, Kind};
+use crate::status::Status;
 use miniserde::{Deserialize, Serialize};
 use std::rc::Rc;
 
@@ -123,6 +124,7 @@
         Evacuate::NAME => serve::<Evacuate>(control, arg, query, called).await,
         TakeBack::NAME => serve::<TakeBack>(control, arg, query, called).await,
         Resolve::NAME => serve::<Resolve>(control, arg, query, called).await,
+        Look::NAME => serve::<Look>(control, arg, query, called).await,
         _ => Refusal::Unknown.reply(),
     }
 }
@@ -352,6 +354,24 @@
     }
 }
 
+/// The system as this process sees it is wanted.
+pub struct Look;
+
+impl Call for Look {
+    const NAME: &'static str = "Status";
+    const METHOD: &'static str = "GET";
+    const LEADER: bool = false;
+    type Answer = Status;
+
+    fn read(_: &str, _: &str, _: &Called) -> Result<Self, Refusal> {
+        Ok(Look)
+    }
+
+    async fn answer(self, control: &Rc<Control>) -> Result<Status, Refusal> {
+        Ok(control.status())
+    }
+}
+
 // ---- Clients ----------------------------------------------------------------------------------------------------
 
 /// A client asks for gateways.
--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -7,11 +7,12 @@
 use crate::link::{self, Incoming, Outgoing};
 use crate::news::{
     Backend, Change, Charge, Charges, Configured, CoreWord, Forwarded, FromAgent, Gateway, Hello, Kind,
-    Numbered, Pulse, Purpose, ToAgent, Total, Totals, Whole, Word,
+    Numbered, Pulse, Purpose, Range, Ranges, ToAgent, Total, Totals, Whole, Word,
 };
 use crate::settings::{Settings, Watch};
-use crate::state::{State, Touched};
-use crate::store::Store;
+use crate::state::{Digest, State, Touched};
+use crate::status::{CountLine, GatewayLine, ServiceLine, Status};
+use crate::store::{Pace, Store};
 use crate::tally::{self, Counter, Limit};
 use cherrytally::Millis;
 use eyre::{eyre, Result, WrapErr};
@@ -37,6 +38,8 @@
 
 /// How often the agreement is told of time.
 const TICK: Duration = Duration::from_millis(25);
+/// The leader tells the digest of its copy to the others each so many ticks: a copy that differs is a fault, and rare.
+const COMPARE_TICKS: u32 = 200;
 /// An agent that was not heard for so long has no part in what clients are told, in ms.
 const HEARD_MS: Millis = 1500.0;
 /// A gateway that was not heard for so long is left out, in ms: it may be cut off and come back.
@@ -61,6 +64,8 @@
 const LEFT_MS: Millis = 30_000.0;
 /// Between two tries to reach another process.
 const AGAIN: Duration = Duration::from_millis(100);
+/// A leader with a slow disk hands over no more often: with all disks slow there is nobody better.
+const HAND_AGAIN: Duration = Duration::from_secs(10);
 /// A core process that is told to end hands over within this.
 const HAND_OVER: Duration = Duration::from_millis(400);
 
@@ -103,8 +108,12 @@
     me: Name,
     started: Instant,
     store: Store,
+    pace: RefCell<Pace>,
+    /// When it last handed over for its slow disk.
+    handed: Cell<Option<Instant>>,
     agreement: RefCell<Agreement>,
     state: RefCell<State>,
+    digest: Digest,
     leading: RefCell<Leading>,
     /// Who waits for an entry: its number, with the term and where to tell.
     waiting: RefCell<BTreeMap<u64, Waiter>>,
@@ -155,7 +164,10 @@
             me,
             started: Instant::now(),
             store,
+            pace: RefCell::default(),
+            handed: Cell::new(None),
             state: RefCell::new(state),
+            digest: Digest::default(),
             leading: RefCell::default(),
             waiting: RefCell::default(),
             peers: RefCell::default(),
@@ -191,6 +203,9 @@
                 if ticks.is_multiple_of(20) {
                     ticking.keep_house();
                 }
+                if ticks.is_multiple_of(COMPARE_TICKS) && ticking.leads() {
+                    ticking.compare();
+                }
             }
         });
         term.recv().await;
@@ -240,11 +255,21 @@
     fn act(self: &Rc<Self>, action: Action) {
         match action {
             Action::Save(save) => {
+                let start = Instant::now();
                 if let Err(e) = self.store.save(&save) {
                     // What is not on disk was promised to nobody yet; what follows would promise it.
                     log::error!("core: the disk takes nothing: {e}");
                     std::process::exit(1);
                 }
+                let slow = self.pace.borrow_mut().saved(start.elapsed().as_secs_f64() * 1000.0);
+                let lately = self.handed.get().is_some_and(|at| at.elapsed() < HAND_AGAIN);
+                if slow && self.leads() && !lately {
+                    log::warn!("core: the disk is slow; another should lead");
+                    self.handed.set(Some(Instant::now()));
+                    let control = self.clone();
+                    // What this save is for goes on first.
+                    tokio::task::spawn_local(async move { control.step(Event::Resign) });
+                }
             }
             Action::Send { to, say } => {
                 let word = Some(Word::Agreement(Letter { say: Some(say) }));
@@ -511,6 +536,67 @@
         (!addresses.is_empty()).then(|| Resolved { addresses, ttl: format!("{}ms", ttl.as_millis()) })
     }
 
+    // ---- Operators look ---------------------------------------------------------------------------------------
+
+    /// The system as this process sees it.
+    pub fn status(&self) -> Status {
+        let now = self.now();
+        let (agreement, state) = (self.agreement.borrow(), self.state.borrow());
+        let (agents, leading) = (self.agents.borrow(), self.leading.borrow());
+        let gateway = |gateway: &Gateway| {
+            let heard = agents.values().filter(|agent| agent.gateway.node == gateway.node);
+            let agent = heard.max_by(|a, b| a.heard.total_cmp(&b.heard));
+            GatewayLine {
+                node: gateway.node.clone(),
+                zone: gateway.zone.clone(),
+                front: gateway.front.clone(),
+                ready: agent.is_some_and(|agent| agent.word.ready),
+                held: agent.map_or(0, |agent| agent.word.held),
+                applied: agent.map_or(0, |agent| agent.word.applied),
+                heard_ms: agent.map(|agent| (now - agent.heard).max(0.0) as u64),
+            }
+        };
+        let mut services = BTreeMap::new();
+        for known in state.backends.values() {
+            let Backend { service, zone, closing, berths, .. } = &known.backend;
+            let line: &mut ServiceLine = services.entry((service, zone)).or_default();
+            if *closing {
+                line.closing += 1;
+            } else {
+                line.open += 1;
+                line.cold += u64::from(known.cold_until > now);
+                line.berths += u64::from(*berths);
+            }
+        }
+        let named = services.into_iter().map(|((service, zone), line)| ServiceLine {
+            service: service.clone(),
+            zone: zone.clone(),
+            ..line
+        });
+        let counts = leading.counter.iter().flat_map(|counter| counter.counts(now));
+        let count = |(tenant, units): (&str, i64)| CountLine {
+            tenant: tenant.to_owned(),
+            per_s: leading.limits.get(tenant).map_or(0.0, |limit| limit.per_s),
+            units,
+        };
+        Status {
+            address: self.me.clone(),
+            node: self.settings.node.clone(),
+            leader: agreement.leader().cloned().unwrap_or_default(),
+            vouches: agreement.vouches(now),
+            term: agreement.term(),
+            index: state.index,
+            digest: format!("{:016x}", self.digest.of(&state)),
+            log: agreement.log_length() as u64,
+            members: agreement.members().to_vec(),
+            edition: state.config.as_ref().map_or(String::new(), |config| format!("r{}", config.edition)),
+            evacuated: state.evacuated.iter().cloned().collect(),
+            gateways: state.gateways.values().map(gateway).collect(),
+            services: named.collect(),
+            counts: counts.map(count).collect(),
+        }
+    }
+
     // ---- Links to other core processes ------------------------------------------------------------------------
 
     /// Where the inner port of a core process is, by its name.
@@ -597,6 +683,20 @@
                         let _ = to.send(Reply { status: status as u16, body, after_ms });
                     }
                 }
+                Some(Word::Compare(theirs)) => self.compared(&name, &theirs),
+                Some(Word::Differs(theirs)) => {
+                    let mend = self.state.borrow().mend_for(self.now(), &theirs);
+                    if let Some(mend) = mend.filter(|_| self.leads()) {
+                        self.tell(&name, Some(Word::Mend(mend)));
+                    }
+                }
+                Some(Word::Mend(mend)) => {
+                    let names = mend.names.join(", ");
+                    if !self.leads() && self.state.borrow_mut().mend(self.now(), mend) {
+                        log::warn!("core: mended: {names}");
+                        self.digest.forget();
+                    }
+                }
                 Some(Word::Join(_)) => {
                     let leader = self.agreement.borrow().leader().cloned();
                     match leader {
@@ -610,6 +710,30 @@
         }
     }
 
+    /// The leader told the digest of its copy: where one's own differs its ranges are told.
+    fn compared(self: &Rc<Self>, leader: &Name, theirs: &Ranges) {
+        let differs = {
+            let state = self.state.borrow();
+            let digest = theirs.ranges.first().map(|whole| whole.digest);
+            let same = theirs.index != state.index || digest == Some(self.digest.of(&state));
+            (!same && self.agreement.borrow().leader() == Some(leader)).then(|| state.ranges())
+        };
+        if let Some(ranges) = differs {
+            log::warn!("core: the copy of change {} differs from the leader's", ranges.index);
+            self.tell(leader, Some(Word::Differs(ranges)));
+        }
+    }
+
+    /// Tells the other members the digest of one's copy.
+    fn compare(self: &Rc<Self>) {
+        let state = self.state.borrow();
+        let whole = Range { name: String::new(), digest: self.digest.of(&state) };
+        let ranges = Ranges { index: state.index, ranges: vec![whole] };
+        for member in self.agreement.borrow().members() {
+            self.tell(member, Some(Word::Compare(ranges.clone())));
+        }
+    }
+
     fn pass_join(self: &Rc<Self>, leader: &Name, name: Name) {
         let peers = self.peers.borrow();
         if let Some(out) = peers.get(leader) {
@@ -661,11 +785,11 @@
             let (leads, mut pulse, members) = {
                 let agreement = self.agreement.borrow();
                 let leads = agreement.vouches(now);
-                let (term, index) = (agreement.term(), self.state.borrow().index);
-                let pulse = Pulse { at: word.at, leads, term, index, members: Vec::new() };
-                (leads, pulse, agreement.members().to_vec())
+                (leads, self.pulse_at(word.at, leads), agreement.members().to_vec())
             };
             let (follows, held, applied) = (word.follows, word.held, word.applied);
+            let ranges = word.ranges.take().filter(|_| leads);
+            let mend = ranges.and_then(|theirs| self.state.borrow().mend_for(now, &theirs));
             {
                 let mut agents = self.agents.borrow_mut();
                 let agent = agents.entry(number).or_insert_with(|| Agent {
@@ -694,7 +818,7 @@
             if follows {
                 self.push_to(number);
             }
-            if !to.send(&ToAgent { whole: None, changes: Vec::new(), pulse: Some(pulse) }) {
+            if !to.send(&ToAgent { pulse: Some(pulse), mend, ..ToAgent::default() }) {
                 drop(gone);
                 return Ok(());
             }
@@ -703,16 +827,22 @@
 
     /// Tells all agents at once that it leads, and which change is the last.
     fn pulse(&self) {
-        let agreement = self.agreement.borrow();
-        let leads = agreement.vouches(self.now());
-        let (term, index) = (agreement.term(), self.state.borrow().index);
+        let leads = self.agreement.borrow().vouches(self.now());
         for agent in self.agents.borrow().values() {
-            let pulse = Pulse { at: agent.word.at, leads, term, index, members: Vec::new() };
+            let pulse = Some(self.pulse_at(agent.word.at, leads));
             // Lost, it comes with the next word.
-            agent.to.send(&ToAgent { whole: None, changes: Vec::new(), pulse: Some(pulse) });
+            agent.to.send(&ToAgent { pulse, ..ToAgent::default() });
         }
     }
 
+    /// The answer to a word that was sent then.
+    fn pulse_at(&self, at: Millis, leads: bool) -> Pulse {
+        let state = self.state.borrow();
+        let digest = if leads { self.digest.of(&state) } else { 0 };
+        let (term, members) = (self.agreement.borrow().term(), Vec::new());
+        Pulse { at, leads, term, index: state.index, members, digest }
+    }
+
     /// Sends all agents that follow what is new.
     fn push(&self) {
         let numbers: Vec<_> =
@@ -731,9 +861,9 @@
         let news = match entries {
             Some(entries) => {
                 let changes = entries.map(|entry| Numbered { index: entry.index, change: change_in(entry) });
-                ToAgent { whole: None, changes: changes.collect(), pulse: None }
+                ToAgent { changes: changes.collect(), ..ToAgent::default() }
             }
-            None => ToAgent { whole: Some(state.whole(self.now(), false)), changes: Vec::new(), pulse: None },
+            None => ToAgent { whole: Some(state.whole(self.now(), false)), ..ToAgent::default() },
         };
         if agent.to.send(&news) {
             agent.sent = state.index;
--- a/overland/src/lib.rs
+++ b/overland/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod speech;
 pub mod start;
 pub mod state;
+pub mod status;
 pub mod store;
 pub mod tally;
 pub mod units;
--- a/overland/src/news.rs
+++ b/overland/src/news.rs
@@ -121,6 +121,42 @@
     pub calls: Vec<u64>,
 }
 
+/// A range of the state and its digest. Copies with the same number compare them.
+#[derive(Clone, PartialEq, Message)]
+pub struct Range {
+    /// Which.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Of all that is in it.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+}
+
+/// Ranges of one's copy, for another that should be the same.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ranges {
+    /// The number of the last change in the copy.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// All ranges that hold something.
+    #[prost(message, repeated, tag = "2")]
+    pub ranges: Vec<Range>,
+}
+
+/// What a copy lacks or has otherwise.
+#[derive(Clone, PartialEq, Message)]
+pub struct Mend {
+    /// It mends a copy with this number alone.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// The names of the ranges that it replaces.
+    #[prost(string, repeated, tag = "2")]
+    pub names: Vec<String>,
+    /// What these ranges hold.
+    #[prost(message, optional, tag = "3")]
+    pub parts: Option<Whole>,
+}
+
 /// A change with its number.
 #[derive(Clone, PartialEq, Message)]
 pub struct Numbered {
@@ -153,6 +189,9 @@
     /// The number of the last change that the proxy goes by; nought where there is no proxy.
     #[prost(uint64, tag = "8")]
     pub applied: u64,
+    /// The copy differs from the leader's with the same number: its ranges.
+    #[prost(message, optional, tag = "9")]
+    pub ranges: Option<Ranges>,
 }
 
 /// What a core process tells an agent.
@@ -167,6 +206,9 @@
     /// The answer to a word of the agent.
     #[prost(message, optional, tag = "3")]
     pub pulse: Option<Pulse>,
+    /// What differs in the agent's copy.
+    #[prost(message, optional, tag = "4")]
+    pub mend: Option<Mend>,
 }
 
 /// A core process's answer to a word of an agent.
@@ -187,6 +229,9 @@
     /// The members of the core, in the first answer on a link and where they have changed.
     #[prost(string, repeated, tag = "5")]
     pub members: Vec<String>,
+    /// The digest of the state with that number; nought where it is not told.
+    #[prost(fixed64, tag = "6")]
+    pub digest: u64,
 }
 
 /// What an agent tells its proxy.
@@ -207,6 +252,15 @@
     /// The age of the last word of who leads, in ms; below nought if there was none.
     #[prost(double, tag = "5")]
     pub age_ms: f64,
+    /// The number of the agent's copy.
+    #[prost(uint64, tag = "6")]
+    pub index: u64,
+    /// Its digest.
+    #[prost(fixed64, tag = "7")]
+    pub digest: u64,
+    /// What differs in the proxy's copy.
+    #[prost(message, optional, tag = "8")]
+    pub mend: Option<Mend>,
 }
 
 /// What a proxy tells its agent.
@@ -221,6 +275,9 @@
     /// The number of the last change that it holds.
     #[prost(uint64, tag = "3")]
     pub held: u64,
+    /// The copy differs from the agent's with the same number: its ranges.
+    #[prost(message, optional, tag = "4")]
+    pub ranges: Option<Ranges>,
 }
 
 /// Charges to the counting gateway.
@@ -311,7 +368,7 @@
     #[prost(string, tag = "1")]
     pub from: String,
     /// The word.
-    #[prost(oneof = "Word", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "Word", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub word: Option<Word>,
 }
 
@@ -330,6 +387,15 @@
     /// It is not among the members and wants to be.
     #[prost(bool, tag = "5")]
     Join(bool),
+    /// The leader's copy: its number, and its digest as that of a range without a name.
+    #[prost(message, tag = "6")]
+    Compare(Ranges),
+    /// The ranges of a copy that differs.
+    #[prost(message, tag = "7")]
+    Differs(Ranges),
+    /// What differs in it.
+    #[prost(message, tag = "8")]
+    Mend(Mend),
 }
 
 /// A call passed on to the leader, or its answer.
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -7,7 +7,7 @@
 use crate::routes::{Numbers, Route, Stamped, Table, Tenant, Zones};
 use crate::settings::{Settings, Watch};
 use crate::speech::Wire;
-use crate::state::{State, Touched};
+use crate::state::{Digest, State, Touched};
 use crate::tally::{self, Counted, Tally, Verdict};
 use bytes::BytesMut;
 use cherrytally::plane::backends::Backends;
@@ -123,6 +123,9 @@
     phase: watch::Sender<Phase>,
     busy: Cell<usize>,
     state: RefCell<Option<State>>,
+    digest: Digest,
+    /// The copy differs from the agent's: its ranges are to be told.
+    differs: Cell<bool>,
     table: RefCell<Option<Rc<Table>>>,
     routes: RefCell<Numbers>,
     pools: RefCell<Numbers>,
@@ -204,6 +207,8 @@
             phase: watch::Sender::new(Phase::Serves),
             busy: Cell::new(0),
             state: RefCell::default(),
+            digest: Digest::default(),
+            differs: Cell::new(false),
             table: RefCell::default(),
             routes: RefCell::default(),
             pools: RefCell::default(),
@@ -279,7 +284,8 @@
         let mut incoming = Incoming::<ToProxy>::new(read);
         let ended = loop {
             let held = self.state.borrow().as_ref().map_or(0, |state| state.index);
-            out.send(&FromProxy { front: self.front.to_string(), ready: self.ready(), held });
+            let ranges = self.state.borrow().as_ref().filter(|_| self.differs.take()).map(State::ranges);
+            out.send(&FromProxy { front: self.front.to_string(), ready: self.ready(), held, ranges });
             let next = tokio::select! {
                 next = incoming.next() => next,
                 () = self.told.notified() => continue,
@@ -294,7 +300,7 @@
     }
 
     fn take(self: &Rc<Self>, news: ToProxy) {
-        let ToProxy { whole, changes, counter, age_ms, .. } = news;
+        let ToProxy { whole, changes, counter, age_ms, index, digest, mend, .. } = news;
         let now = self.now();
         let held = self.state.borrow().as_ref().map_or(0, |state| state.index);
         let mut touched = Vec::new();
@@ -304,6 +310,16 @@
         }
         if let Some(state) = self.state.borrow_mut().as_mut() {
             touched.extend(state.follow(now, &changes));
+            let names = mend.as_ref().map(|mend| mend.names.join(", ")).unwrap_or_default();
+            if mend.is_some_and(|mend| state.mend(now, mend)) {
+                log::warn!("proxy: mended: {names}");
+                self.digest.forget();
+                touched.extend([Touched::Config, Touched::Backends, Touched::Gateways]);
+            }
+            if digest != 0 && state.index == index && self.digest.of(state) != digest {
+                log::warn!("proxy: the copy of change {index} differs from the agent's");
+                self.differs.set(true);
+            }
         }
         if touched.contains(&Touched::Config) {
             self.configure();
--- a/overland/src/state.rs
+++ b/overland/src/state.rs
@@ -1,8 +1,12 @@
 //! The agreed state: what every process of the system holds a copy of. It changes by numbered changes alone.
 
-use crate::news::{Backend, Change, Configured, Gateway, Kind, Numbered, Whole};
+use crate::news::{Backend, Change, Configured, Gateway, Kind, Mend, Numbered, Range as Told, Ranges, Whole};
 use cherrytally::Millis;
+use prost::Message;
+use siphasher::sip::SipHasher13;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::Hasher;
 
 /// Digests of calls that brought configurations, the newest: a call that is repeated later is a new one.
 const CALLS_MOST: usize = 4096;
@@ -33,6 +37,40 @@
     pub calls: VecDeque<u64>,
 }
 
+/// The range of the configuration.
+const CONFIG: &str = "config";
+/// The range of zones that are emptied.
+const EVACUATED: &str = "evacuated";
+
+/// The range of a zone's backends and gateways.
+fn cell(zone: &str) -> String {
+    format!("cell {zone}")
+}
+
+/// The digest of a copy, reckoned once for each of its numbers.
+#[derive(Default)]
+pub struct Digest(Cell<(u64, u64)>);
+
+impl Digest {
+    /// The digest of all ranges; never nought.
+    pub fn of(&self, state: &State) -> u64 {
+        let (index, digest) = self.0.get();
+        if index == state.index && digest != 0 {
+            return digest;
+        }
+        let mut hasher = SipHasher13::new_with_keys(0x6f61, 0x6b66);
+        hasher.write(&Ranges { index: 0, ..state.ranges() }.encode_to_vec());
+        let digest = hasher.finish().max(1);
+        self.0.set((state.index, digest));
+        digest
+    }
+
+    /// The copy was mended.
+    pub fn forget(&self) {
+        self.0.set((0, 0));
+    }
+}
+
 /// What a change touched.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Touched {
@@ -113,6 +151,76 @@
         }
     }
 
+    // ---- Comparing copies ---------------------------------------------------------------------------------------
+
+    /// The digests of all ranges that hold something: the configuration, the zones that are emptied, and each zone's cell
+    /// of backends and gateways. How long a backend stays cold is reckoned by each copy for itself and is no part of it.
+    pub fn ranges(&self) -> Ranges {
+        let mut hashers: BTreeMap<String, SipHasher13> = BTreeMap::new();
+        let mut add = |range: String, what: &[u8]| {
+            let hasher = hashers.entry(range).or_insert_with(|| SipHasher13::new_with_keys(0x6f61, 0x6b66));
+            hasher.write_usize(what.len());
+            hasher.write(what);
+        };
+        if let Some(config) = &self.config {
+            add(CONFIG.to_owned(), &config.encode_to_vec());
+        }
+        for zone in &self.evacuated {
+            add(EVACUATED.to_owned(), zone.as_bytes());
+        }
+        for known in self.backends.values() {
+            let lasting = Backend { cold_ms: 0, ..known.backend.clone() };
+            add(cell(&lasting.zone), &lasting.encode_to_vec());
+        }
+        for gateway in self.gateways.values() {
+            add(cell(&gateway.zone), &gateway.encode_to_vec());
+        }
+        let told = |(name, hasher): (String, SipHasher13)| Told { name, digest: hasher.finish() };
+        Ranges { index: self.index, ranges: hashers.into_iter().map(told).collect() }
+    }
+
+    /// What another copy with the same number lacks or has otherwise; none where it has another number, or the same in
+    /// all ranges.
+    pub fn mend_for(&self, now: Millis, theirs: &Ranges) -> Option<Mend> {
+        if theirs.index != self.index {
+            return None;
+        }
+        let by_name = |ranges: Ranges| -> BTreeMap<String, u64> {
+            ranges.ranges.into_iter().map(|range| (range.name, range.digest)).collect()
+        };
+        let (mine, theirs) = (by_name(self.ranges()), by_name(theirs.clone()));
+        let names: BTreeSet<_> = mine.keys().chain(theirs.keys()).cloned().collect();
+        let names: Vec<_> = names.into_iter().filter(|name| mine.get(name) != theirs.get(name)).collect();
+        if names.is_empty() {
+            return None;
+        }
+        let wanted = |range: &str| names.iter().any(|name| name == range);
+        let mut parts = self.whole(now, false);
+        parts.config = parts.config.filter(|_| wanted(CONFIG));
+        parts.evacuated.retain(|_| wanted(EVACUATED));
+        parts.backends.retain(|backend| wanted(&cell(&backend.zone)));
+        parts.gateways.retain(|gateway| wanted(&cell(&gateway.zone)));
+        Some(Mend { index: self.index, names, parts: Some(parts) })
+    }
+
+    /// Replaces ranges of a copy that differed. False where it is of another number by now: nothing is touched then.
+    pub fn mend(&mut self, now: Millis, mend: Mend) -> bool {
+        let (true, Some(parts)) = (mend.index == self.index, mend.parts) else { return false };
+        let mended = |range: &str| mend.names.iter().any(|name| name == range);
+        let other = State::from_whole(now, parts);
+        if mended(CONFIG) {
+            self.config = other.config;
+        }
+        if mended(EVACUATED) {
+            self.evacuated = other.evacuated;
+        }
+        self.backends.retain(|_, known| !mended(&cell(&known.backend.zone)));
+        self.backends.extend(other.backends);
+        self.gateways.retain(|_, gateway| !mended(&cell(&gateway.zone)));
+        self.gateways.extend(other.gateways);
+        true
+    }
+
     /// A copy from a message.
     pub fn from_whole(now: Millis, whole: Whole) -> Self {
         let known = |backend: Backend| {
--- a/overland/src/store.rs
+++ b/overland/src/store.rs
@@ -39,6 +39,34 @@
     state: Vec<u8>,
 }
 
+/// A disk that took longer than so many times its usual time, in so many saves in a row, and longer than this, in ms, is
+/// slow: its owner should not lead, as each change waits for it.
+const SLOW: (f64, u32, f64) = (6.0, 3, 5.0);
+/// Weight of a save that is not slow, in the usual time; a quicker one shows at once what the disk can do.
+const USUAL_GAIN: f64 = 0.1;
+
+/// Whether a disk is slow, by the time that saves take.
+#[derive(Debug, Default)]
+pub struct Pace {
+    usual_ms: Option<f64>,
+    slow: u32,
+}
+
+impl Pace {
+    /// A save took so long, in ms. True if the disk is slow by now.
+    pub fn saved(&mut self, took_ms: f64) -> bool {
+        let (times, in_a_row, least_ms) = SLOW;
+        let usual = *self.usual_ms.get_or_insert(took_ms);
+        if took_ms > (usual * times).max(least_ms) {
+            self.slow = self.slow.saturating_add(1);
+        } else {
+            self.slow = 0;
+            self.usual_ms = Some(took_ms.min(usual + (took_ms - usual) * USUAL_GAIN));
+        }
+        self.slow >= in_a_row
+    }
+}
+
 /// The store of one core process.
 pub struct Store {
     database: Database,
@@ -111,3 +139,24 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_disk_is_slow_beside_what_is_usual_for_it() {
+        let mut pace = Pace::default();
+        let mut after = |times: &[f64]| times.iter().map(|ms| pace.saved(*ms)).last();
+        // The first save makes its files, too.
+        assert_eq!(after(&[30.0, 0.6, 0.7, 0.5]), Some(false));
+        // Thirty times as long, or hanging once.
+        assert_eq!(after(&[18.0, 18.0]), Some(false));
+        assert_eq!(after(&[18.0]), Some(true));
+        assert_eq!(after(&[0.6, 3000.0, 0.6, 0.6]), Some(false));
+        // Little more than usual, however long that lasts.
+        assert_eq!(after(&[3.0; 50]), Some(false));
+        let mut slow_from_the_first = Pace::default();
+        assert!(!(0..50).any(|_| slow_from_the_first.saved(12.0)));
+    }
+}
--- a/overland/src/tally.rs
+++ b/overland/src/tally.rs
@@ -208,6 +208,14 @@
         Counted { units, limit: holds.floor() as i64, left_ms, window: number }
     }
 
+    /// Units of each tenant in its present window.
+    pub fn counts(&self, now: Millis) -> impl Iterator<Item = (&str, i64)> {
+        self.windows
+            .iter()
+            .filter(move |(_, window)| now < window.ends)
+            .map(|(name, w)| (name.as_str(), w.units))
+    }
+
     /// Forgets tenants that nobody charges.
     pub fn sweep(&mut self, now: Millis) {
         self.windows.retain(|_, window| now - window.ends < IDLE_MS);
--- /dev/null
+++ b/overland/tests/copies.rs
@@ -0,0 +1,97 @@
+//! Copies of the state that were damaged, compared by ranges and mended, against the plain way: the whole copy anew.
+
+use overland::news::{Backend, Change, Configured, Evacuated, Gateway, Kind};
+use overland::state::{Digest, State};
+
+fn change(rng: &mut fastrand::Rng) -> Change {
+    let zone = ["a", "b", "c"][rng.usize(0..3)].to_owned();
+    let number = rng.u32(0..12);
+    let kind = match rng.u32(0..8) {
+        0 => Kind::Configured(Configured {
+            edition: rng.u64(..),
+            text: format!("{{{number}}}"),
+            call: rng.u64(..),
+        }),
+        1 => Kind::Evacuated(Evacuated { zone, on: rng.bool() }),
+        2 => Kind::BackendGone(format!("i-{number}")),
+        3 => {
+            Kind::Gateway(Gateway { node: format!("n-{number}"), zone, front: format!("10.0.0.{number}:1") })
+        }
+        4 => Kind::GatewayGone(format!("n-{number}")),
+        _ => Kind::Backend(Backend {
+            id: format!("i-{number}"),
+            service: "s".into(),
+            address: format!("10.0.1.{}:1", rng.u32(0..40)),
+            zone,
+            berths: rng.u32(1..4),
+            closing: rng.bool(),
+            cold_ms: rng.u64(0..3000),
+        }),
+    };
+    Change { kind: Some(kind) }
+}
+
+fn state(rng: &mut fastrand::Rng) -> State {
+    let mut state = State::default();
+    for index in 1..60 {
+        state.apply(index as f64 * 10.0, index, Some(&change(rng)));
+    }
+    state
+}
+
+/// What must be the same in all copies.
+fn lasting(state: &State) -> State {
+    let mut state = state.clone();
+    state.calls.clear();
+    state.backends.values_mut().for_each(|known| (known.cold_until, known.backend.cold_ms) = (0.0, 0));
+    state
+}
+
+#[test]
+fn a_damaged_copy_is_found_and_made_whole_by_what_differs() {
+    bolero::check!().with_iterations(500).with_type::<u64>().for_each(|seed| {
+        let mut rng = fastrand::Rng::with_seed(*seed);
+        let (right, later) = (state(&mut rng), 700.0 + rng.f64() * 5000.0);
+        // A copy that came whole and a copy that followed are the same, whenever they are looked at.
+        let mut copy = State::from_whole(later, right.whole(later, false));
+        let digest = Digest::default();
+        assert_eq!((digest.of(&copy), copy.ranges()), (Digest::default().of(&right), right.ranges()));
+        assert!(right.mend_for(later, &copy.ranges()).is_none());
+        // Damage that no numbered change tells of.
+        let before = copy.clone();
+        for _ in 0..1 + rng.usize(0..4) {
+            copy.apply(later, right.index, Some(&change(&mut rng)));
+        }
+        digest.forget();
+        let same = lasting(&before) == lasting(&copy);
+        assert_eq!(digest.of(&copy) == Digest::default().of(&right), same, "found where there is any");
+        let mend = right.mend_for(later, &copy.ranges());
+        assert_eq!(mend.is_none(), same);
+        let Some(mend) = mend else { return };
+        // What is sent is what differs: cells that are the same stay.
+        let parts = mend.parts.clone().expect("parts");
+        for zone in ["a", "b", "c"] {
+            let of = |state: &State| {
+                let state = lasting(state);
+                let backends: Vec<_> =
+                    state.backends.into_values().filter(|known| known.backend.zone == zone).collect();
+                (
+                    backends,
+                    state.gateways.into_values().filter(|gateway| gateway.zone == zone).collect::<Vec<_>>(),
+                )
+            };
+            let sent = parts.backends.iter().any(|b| b.zone == zone)
+                || parts.gateways.iter().any(|g| g.zone == zone);
+            assert!(!sent || of(&copy) != of(&right), "{zone} is the same");
+        }
+        assert!(copy.mend(later, mend.clone()));
+        assert_eq!(lasting(&copy), lasting(&right));
+        digest.forget();
+        assert_eq!(digest.of(&copy), Digest::default().of(&right));
+        // A copy that has gone on is not touched by what mends an older one.
+        copy.apply(later, right.index + 1, Some(&change(&mut rng)));
+        let gone_on = copy.clone();
+        assert!(!copy.mend(later, mend) && copy == gone_on);
+        assert!(right.mend_for(later, &copy.ranges()).is_none());
+    });
+}
--- a/overland/tests/system.rs
+++ b/overland/tests/system.rs
@@ -235,6 +235,23 @@
         call(control(2), "GET", resolve, "", "").filter(|a| a.body.contains(&front))
     });
 
+    // Whoever is asked tells of all: the core, copies that are the same, the gateway and the backend.
+    let status = |args: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_narcissus"))
+            .args(["status", "--core", control(1)])
+            .args(args)
+            .output()
+            .expect("it runs");
+        (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
+    };
+    until("a table with a leader, three copies that are the same, a ready gateway and a backend", || {
+        let (code, text) = status(&[]);
+        let told = ["leads", "configuration r3", "gateway  a     ready", "s1       a     1     0"];
+        (code == Some(0) && text.matches("same").count() == 3 && told.iter().all(|told| text.contains(told)))
+            .then_some(())
+    });
+    assert!(status(&["--json"]).1.starts_with("[{\"address\":"));
+
     // Garbage at every port hurts nobody.
     let inner = format!("127.0.0.2:{}", fleet.inner);
     for addr in [control(0), inner.as_str(), front.as_str(), ready.as_str()] {
