--- a/overland/tests/agreement.rs
+++ b/overland/tests/agreement.rs
@@ -1,309 +1,8 @@
-//! The agreement against a plain model, under loss, doubling, reordering, cuts one way, kills at every step, slow
-//! processes and wiped disks. `HISTORIES=100000 cargo test -p overland --release --test agreement` plays more.
+//! The agreement against a plain model. `HISTORIES=100000 cargo test -p overland --release --test agreement` plays more.
 
-use overland::agreement::{Action, Agreement, Event, Save, Saved, Say};
-use std::collections::{BTreeMap, BTreeSet};
+mod histories;
 
-/// What has been agreed on, as plainly as can be: one list. Whoever applies an entry must find it there, or adds it.
-#[derive(Default)]
-struct Model {
-    agreed: BTreeMap<u64, Vec<u8>>,
-    /// The highest number whose proposer was told that it is agreed on.
-    told: u64,
-    leaders: BTreeMap<u64, String>,
-}
-
-impl Model {
-    fn applied(&mut self, index: u64, data: &[u8]) {
-        let known = self.agreed.entry(index).or_insert_with(|| data.to_vec());
-        assert_eq!(known, data, "two entries were agreed on as number {index}");
-    }
-}
-
-/// A process of the core: its disk outlives it.
-struct Machine {
-    disk: Option<Saved>,
-    founds: bool,
-    running: Option<Agreement>,
-    /// What it has applied, by number.
-    state: BTreeMap<u64, Vec<u8>>,
-}
-
-fn encode(state: &BTreeMap<u64, Vec<u8>>) -> Vec<u8> {
-    state
-        .iter()
-        .flat_map(|(index, data)| [&index.to_le_bytes()[..], &[data.len() as u8], data].concat())
-        .collect()
-}
-
-fn decode(mut bytes: &[u8]) -> BTreeMap<u64, Vec<u8>> {
-    let mut state = BTreeMap::new();
-    while let Some((index, rest)) = bytes.split_first_chunk::<8>() {
-        let (length, rest) = rest.split_first().expect("a length");
-        let (data, rest) = rest.split_at(*length as usize);
-        state.insert(u64::from_le_bytes(*index), data.to_vec());
-        bytes = rest;
-    }
-    state
-}
-
-fn keep(disk: &mut Option<Saved>, save: Save) {
-    let disk = disk.get_or_insert_with(Saved::default);
-    disk.vow = save.vow;
-    if let Some(base) = save.base {
-        let behind = disk.entries.iter().position(|entry| entry.index > base.index);
-        disk.entries.drain(..behind.unwrap_or(disk.entries.len()));
-        disk.base = base;
-    }
-    if let Some((first, entries)) = save.entries {
-        disk.entries.retain(|entry| entry.index < first);
-        disk.entries.extend(entries);
-    }
-}
-
-struct Letter {
-    at: f64,
-    from: usize,
-    to: usize,
-    say: Say,
-}
-
-struct World {
-    rng: fastrand::Rng,
-    now: f64,
-    machines: Vec<Machine>,
-    letters: Vec<Letter>,
-    /// Pairs of which the first can't reach the second.
-    cuts: BTreeSet<(usize, usize)>,
-    model: Model,
-    proposed: u64,
-    loss: f64,
-    compacts: bool,
-}
-
-fn name(number: usize) -> String {
-    format!("core{number}")
-}
-
-fn number(name: &str) -> usize {
-    name.trim_start_matches("core").parse().expect("a number")
-}
-
-impl World {
-    fn new(seed: u64, founders: usize, others: usize) -> Self {
-        let machine =
-            |number| Machine { disk: None, founds: number < founders, running: None, state: BTreeMap::new() };
-        let mut rng = fastrand::Rng::with_seed(seed);
-        let (loss, compacts) = (rng.f64() * 0.2, rng.bool());
-        World {
-            rng,
-            now: 0.0,
-            machines: (0..founders + others).map(machine).collect(),
-            letters: Vec::new(),
-            cuts: BTreeSet::new(),
-            model: Model::default(),
-            proposed: 0,
-            loss,
-            compacts,
-        }
-    }
-
-    fn founders(&self) -> Vec<String> {
-        (0..self.machines.len()).filter(|number| self.machines[*number].founds).map(name).collect()
-    }
-
-    fn start(&mut self, number: usize, first: bool) {
-        let founders = self.founders();
-        let machine = &mut self.machines[number];
-        if machine.running.is_some() {
-            return;
-        }
-        if first && machine.founds && machine.disk.is_none() {
-            machine.disk = Some(Agreement::found(founders));
-        }
-        let saved = machine.disk.clone().unwrap_or_default();
-        machine.state = decode(&saved.base.state);
-        machine.running = Some(Agreement::new(name(number), saved, self.rng.u64(..), self.now));
-    }
-
-    fn kill(&mut self, number: usize) {
-        self.machines[number].running = None;
-    }
-
-    /// Something happens at a machine. It may be killed between any two things that it does.
-    fn step(&mut self, number: usize, event: Event, fatal: bool) {
-        let Some(agreement) = &mut self.machines[number].running else { return };
-        let mut actions = Vec::new();
-        agreement.handle(self.now, event, &mut actions);
-        let last = if fatal { self.rng.usize(0..=actions.len()) } else { usize::MAX };
-        for (at, action) in actions.into_iter().enumerate() {
-            if at >= last {
-                return self.kill(number);
-            }
-            self.act(number, action);
-        }
-        let machine = &mut self.machines[number];
-        let Some(agreement) = &mut machine.running else { return };
-        if agreement.vouches(self.now) {
-            assert!(agreement.applied() >= self.model.told, "it answers for all and lacks what was told");
-        }
-        if self.compacts && agreement.log_length() > 80 {
-            let mut actions = Vec::new();
-            agreement.compact(encode(&machine.state), &mut actions);
-            for action in actions {
-                self.act(number, action);
-            }
-        }
-    }
-
-    fn act(&mut self, number: usize, action: Action) {
-        match action {
-            Action::Save(save) => keep(&mut self.machines[number].disk, save),
-            Action::Send { to, say } => {
-                for _ in 0..if self.rng.f64() < 0.05 { 2 } else { 1 } {
-                    let at = self.now + 1.0 + self.rng.f64().powi(6) * 400.0;
-                    if self.rng.f64() >= self.loss {
-                        self.letters.push(Letter {
-                            at,
-                            from: number,
-                            to: self::number(&to),
-                            say: say.clone(),
-                        });
-                    }
-                }
-            }
-            Action::Apply(entry) => {
-                self.model.applied(entry.index, &entry.data);
-                let machine = &mut self.machines[number];
-                machine.state.insert(entry.index, entry.data);
-                let agreement = machine.running.as_ref().expect("it runs");
-                if agreement.leads() && entry.term == agreement.term() {
-                    self.model.told = self.model.told.max(entry.index);
-                }
-            }
-            Action::Restore { index, state } => {
-                let state = decode(&state);
-                state.iter().for_each(|(index, data)| self.model.applied(*index, data));
-                assert!(state.keys().all(|of| *of <= index));
-                self.machines[number].state = state;
-            }
-            Action::Leads(true) => {
-                let term = self.machines[number].running.as_ref().expect("it runs").term();
-                let known = self.model.leaders.entry(term).or_insert_with(|| name(number)).clone();
-                assert_eq!(known, name(number), "two lead in term {term}");
-            }
-            Action::Leads(false) => {}
-        }
-    }
-
-    /// Plays on until then, with a kill at a step now and then.
-    fn pass(&mut self, until: f64, kills: f64) {
-        while self.now < until {
-            self.now += 1.0 + self.rng.f64() * 15.0;
-            for number in 0..self.machines.len() {
-                // A process may be kept from its processor.
-                if self.rng.f64() < 0.7 {
-                    let fatal = self.rng.f64() < kills;
-                    self.step(number, Event::Tick, fatal);
-                }
-                let apart = self.machines[number].running.as_ref().is_some_and(Agreement::apart);
-                if apart && self.rng.f64() < 0.1 {
-                    let to = self.rng.usize(0..self.machines.len());
-                    if !self.cuts.contains(&(number, to)) {
-                        self.step(to, Event::Join(name(number)), false);
-                    }
-                }
-                if self.machines[number].running.as_ref().is_some_and(Agreement::leads)
-                    && self.rng.f64() < 0.1
-                {
-                    self.proposed += 1;
-                    let data = self.proposed.to_string().into_bytes();
-                    let fatal = self.rng.f64() < kills;
-                    self.step(number, Event::Propose(data), fatal);
-                }
-            }
-            let now = self.now;
-            let due: Vec<_> = {
-                let (due, later) = std::mem::take(&mut self.letters).into_iter().partition(|l| l.at <= now);
-                self.letters = later;
-                due
-            };
-            for letter in due {
-                if !self.cuts.contains(&(letter.from, letter.to)) {
-                    let fatal = self.rng.f64() < kills;
-                    self.step(letter.to, Event::Heard { from: name(letter.from), say: letter.say }, fatal);
-                }
-            }
-        }
-    }
-
-    fn running(&self) -> usize {
-        self.machines.iter().filter(|machine| machine.running.is_some()).count()
-    }
-}
-
-/// One history. `wipes` machines at most are without their disk at a time.
-fn play(seed: u64, founders: usize, others: usize, wipes: usize) {
-    let mut w = World::new(seed, founders, others);
-    for number in 0..founders {
-        w.start(number, true);
-    }
-    w.pass(2500.0, 0.0);
-    assert!(w.model.told > 0, "seed {seed}: nothing was agreed on in calm");
-    for number in founders..founders + others {
-        w.start(number, false);
-    }
-    for _ in 0..w.rng.usize(3..8) {
-        let any = w.rng.usize(0..w.machines.len());
-        let length = 100.0 + w.rng.f64() * 3000.0;
-        match w.rng.u32(0..8) {
-            // One way, or both.
-            0 => drop(w.cuts.insert((any, w.rng.usize(0..w.machines.len())))),
-            1 => (0..w.machines.len()).for_each(|other| {
-                w.cuts.insert((any, other));
-                w.cuts.insert((other, any));
-            }),
-            2 => w.kill(any),
-            3 => (0..w.machines.len()).for_each(|number| w.kill(number)),
-            // The disks of some are lost while all others lose power.
-            4 => {
-                (0..w.machines.len()).for_each(|number| w.kill(number));
-                for _ in 0..wipes {
-                    let any = w.rng.usize(0..w.machines.len());
-                    w.machines[any].disk = None;
-                }
-            }
-            5 if wipes > 0 => {
-                w.kill(any);
-                w.machines[any].disk = None;
-            }
-            6 => {
-                let leader = (0..w.machines.len())
-                    .find(|n| w.machines[*n].running.as_ref().is_some_and(Agreement::leads));
-                if let Some(leader) = leader {
-                    w.step(leader, Event::Resign, false);
-                }
-            }
-            _ => {}
-        }
-        let until = w.now + length;
-        w.pass(until, 0.002);
-        // Everything is back, and what was lost has caught up before the next is.
-        w.cuts.clear();
-        (0..w.machines.len()).for_each(|number| w.start(number, false));
-        let until = w.now + 9000.0;
-        w.pass(until, 0.0);
-    }
-    w.loss = 0.0;
-    let (told, until) = (w.model.told, w.now + 6000.0);
-    w.pass(until, 0.0);
-    assert_eq!(w.running(), founders + others);
-    assert!(w.model.told > told, "seed {seed}: nothing is agreed on any more");
-    for (number, machine) in w.machines.iter().enumerate() {
-        let held = machine.state.range(..=told);
-        assert!(held.eq(w.model.agreed.range(..=told)), "seed {seed}: core{number} lacks what was told");
-    }
-}
+use histories::{play, World};
 
 fn histories(usual: usize) -> usize {
     std::env::var("HISTORIES").ok().and_then(|histories| histories.parse().ok()).unwrap_or(usual)
@@ -311,22 +10,31 @@
 
 #[test]
 fn three_members_lose_nothing_that_was_told() {
-    bolero::check!().with_iterations(histories(150)).with_type::<u64>().for_each(|seed| play(*seed, 3, 0, 1));
+    bolero::check!()
+        .with_iterations(histories(150))
+        .with_type::<u64>()
+        .for_each(|seed| play(&mut World::new(*seed, 3, 0, None), 1));
 }
 
 #[test]
 fn five_members_bear_two_lost_disks() {
-    bolero::check!().with_iterations(histories(60)).with_type::<u64>().for_each(|seed| play(*seed, 5, 0, 2));
+    bolero::check!()
+        .with_iterations(histories(60))
+        .with_type::<u64>()
+        .for_each(|seed| play(&mut World::new(*seed, 5, 0, None), 2));
 }
 
 #[test]
 fn others_join_while_members_come_and_go() {
-    bolero::check!().with_iterations(histories(60)).with_type::<u64>().for_each(|seed| play(*seed, 3, 2, 0));
+    bolero::check!()
+        .with_iterations(histories(60))
+        .with_type::<u64>()
+        .for_each(|seed| play(&mut World::new(*seed, 3, 2, None), 0));
 }
 
 #[test]
 fn an_empty_disk_never_founds_nor_votes() {
-    let mut w = World::new(7, 3, 0);
+    let mut w = World::new(7, 3, 0, None);
     // All come without what they knew, and none is first.
     (0..3).for_each(|number| w.start(number, false));
     w.pass(20_000.0, 0.0);
