Count what a proxy does as OpenMetrics; name results and reasons in one place

Change: GET /metrics at the ready address tells answers by status, times, attempts, refusals, charges, requests begun ahead, copies mended, and what stands so now. Names of results and reasons move to their types; the present gateway's log and figures use them, its words as before.

Ruled out: a port of its own (the platform names none).

Test: the real processes' figures after an unknown key, a pair behind one another and a whole copy.

--- a/overland/src/lib.rs
+++ b/overland/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod calls;
 pub mod config;
 pub mod control;
+pub mod figures;
 pub mod link;
 pub mod news;
 pub mod proxy;
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use crate::agent::feed;
 use crate::ahead::{Ahead, Begun, Front};
+use crate::figures::{Figures, Present};
 use crate::link::{self, Incoming, Outgoing};
 use crate::news::{Charge, Charges, FromProxy, Hello, Purpose, ToProxy, Totals};
 use crate::routes::{Numbers, Route, Stamped, Table, Tenant, Zones};
@@ -12,16 +13,15 @@
 use bytes::BytesMut;
 use cherrytally::plane::backends::Backends;
 use cherrytally::plane::deadline::Stated;
-use cherrytally::plane::driver::{Answer, Asked, Driver, Ears, Reach, Told, Work};
+use cherrytally::plane::driver::{Answer, Asked, Driver, Reach, Told, Work};
 use cherrytally::plane::http::Head;
 use cherrytally::plane::room::{Budget, Content, More, Short, Upload, HELD_MOST};
-use cherrytally::{
-    Further, Limits, Listed, Millis, Plan, Reason, Result as Ended, Rules, Settings as Tuning,
-    State as Stands,
-};
+use cherrytally::{Further, Limits, Listed, Millis, Plan, Rules, Settings as Tuning, State as Stands};
 use eyre::{eyre, Result, WrapErr};
 use hyper::body::Incoming as Body;
-use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::header::{
+    HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER,
+};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -83,23 +83,6 @@
     answer: oneshot::Sender<Option<Counted>>,
 }
 
-/// Nothing is counted yet besides what the log tells.
-struct Quiet;
-
-impl Ears for Quiet {
-    fn attempted(&self, _: Ended) {}
-
-    fn called(&self, _: Ended) {}
-
-    fn refused(&self, _: Reason) {}
-
-    fn relayed(&self) {}
-
-    fn told(&self, line: &str) {
-        log::info!("proxy: {line}");
-    }
-}
-
 /// Whether clients are taken in.
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
@@ -117,6 +100,7 @@
     zones: Zones,
     started: Instant,
     front: SocketAddr,
+    figures: Rc<Figures>,
     driver: Rc<Driver>,
     budget: Rc<Budget>,
     places: Arc<Semaphore>,
@@ -186,13 +170,14 @@
         let listener = TcpListener::bind(front).await.wrap_err("front address")?;
         let places = (settings.fds.saturating_sub(RESERVED) / 2).max(2) as usize;
         let budget = Rc::new(Budget::new(settings.memory_mb << 20));
+        let figures = Rc::new(Figures::default());
         let reach = Reach {
             backends: Backends::new(places, CONNECT_MS, IDLE_MS),
             calls: None,
             tells: None,
             budget: budget.clone(),
             speech: Rc::new(Wire),
-            ears: Rc::new(Quiet),
+            ears: figures.clone(),
         };
         let zones = Zones::new(&settings.zones);
         let seed = fastrand::u64(..);
@@ -202,6 +187,7 @@
             zones,
             started: Instant::now(),
             front,
+            figures,
             budget,
             places: Arc::new(Semaphore::new(places)),
             phase: watch::Sender::new(Phase::Serves),
@@ -313,6 +299,7 @@
             let names = mend.as_ref().map(|mend| mend.names.join(", ")).unwrap_or_default();
             if mend.is_some_and(|mend| state.mend(now, mend)) {
                 log::warn!("proxy: mended: {names}");
+                self.figures.copy_mended();
                 self.digest.forget();
                 touched.extend([Touched::Config, Touched::Backends, Touched::Gateways]);
             }
@@ -427,6 +414,22 @@
         serves && self.table.borrow().is_some() && self.driver.ready() && self.in_touch()
     }
 
+    /// The figures for operators.
+    fn open_metrics(&self) -> Reply {
+        let present = Present {
+            open: self.busy.get(),
+            backend_connections: self.driver.backends().open(),
+            backends: self.driver.listed(),
+            change: self.state.borrow().as_ref().map_or(0, |state| state.index),
+            word_age: self.fresh.get().map(|at| at.elapsed()),
+            ready: self.ready(),
+        };
+        let mut reply = Response::new(Content::whole(self.figures.open_metrics(&present)));
+        let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+        reply
+    }
+
     async fn tell_ready(self: Rc<Self>, listener: TcpListener) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
@@ -435,10 +438,13 @@
             };
             let proxy = self.clone();
             tokio::task::spawn_local(async move {
-                let service = service_fn(|_: Request<Body>| {
-                    let ready = proxy.ready();
-                    let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-                    async move { Ok::<_, Infallible>(plain(status, "")) }
+                let service = service_fn(|request: Request<Body>| {
+                    let reply = match request.uri().path() {
+                        "/metrics" => proxy.open_metrics(),
+                        _ if proxy.ready() => plain(StatusCode::OK, ""),
+                        _ => plain(StatusCode::SERVICE_UNAVAILABLE, ""),
+                    };
+                    async move { Ok::<_, Infallible>(reply) }
                 });
                 let connection = http1::Builder::new()
                     .timer(TokioTimer::new())
@@ -616,11 +622,13 @@
             return None;
         }
         log::trace!("proxy: class {} begins behind another request", route.class);
+        self.figures.begun_ahead();
         let (proxy, parts, busy) = (self.clone(), parts.clone(), Busy::new(self));
         Some(Begun::new(tokio::task::spawn_local(async move { proxy.answer(parts, None, busy).await })))
     }
 
     async fn reply(self: &Rc<Self>, request: Request<Body>, ahead: &Ahead<Reply>) -> Reply {
+        let began = Instant::now();
         let (parts, body) = request.into_parts();
         let busy = Busy::new(self);
         let begun = ahead.take(&parts);
@@ -636,6 +644,7 @@
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         ahead.answered();
+        self.figures.answered(reply.status().as_u16(), began.elapsed());
         reply
     }
 
@@ -667,7 +676,9 @@
         };
         let deadline = Stated::remaining(waits).from(Instant::now());
         if let Some(tenant) = &tenant {
-            if let Verdict::Refuse(after) = self.admit(tenant, route.target).await {
+            let verdict = self.admit(tenant, route.target).await;
+            self.figures.charged(&verdict);
+            if let Verdict::Refuse(after) = verdict {
                 return refused(StatusCode::TOO_MANY_REQUESTS, after);
             }
         }
--- a/overland/tests/system.rs
+++ b/overland/tests/system.rs
@@ -295,6 +295,19 @@
     assert!(one.is_some() && one < two, "{text}");
     (0..2).for_each(|_| drop(came.recv_timeout(PATIENCE)));
 
+    // What came of all this is counted.
+    let figures = call(&ready, "GET", "/metrics", "", "").expect("figures");
+    assert_eq!(figures.status, 200);
+    for line in [
+        "pelion_answers_total{status=\"401\"} 1",
+        "pelion_ahead_total 1",
+        "pelion_ready 1",
+        "pelion_mended_total 0",
+    ] {
+        assert!(figures.body.contains(line), "{line} is not in {}", figures.body);
+    }
+    assert!(figures.body.trim_end().ends_with("# EOF") && figures.body.matches("# EOF").count() == 1);
+
     // A key that is taken away works nowhere once that is acknowledged.
     until("a key taken away", || put(2, &config(6, "r3", r#""k1""#)).filter(|status| *status == 200));
     until("its end", || ask("/x/1", "k2").filter(|a| a.status == 401));
--- a/src/bin/heronstage/figures.rs
+++ b/src/bin/heronstage/figures.rs
@@ -65,22 +65,7 @@
     (Place::Servers, "servers"),
 ];
 
-pub const REASONS: [(Reason, &str); 4] =
-    [(Reason::Room, "room"), (Reason::Quota, "quota"), (Reason::Unsent, "unsent"), (Reason::Time, "time")];
-
-/// The name of an attempt's result.
-fn result(ended: Ended) -> &'static str {
-    match ended {
-        Ended::Ok => "ok",
-        Ended::Error => "error",
-        Ended::Full => "full",
-        Ended::Timeout => "timeout",
-        Ended::ConnectFailed => "connect_failed",
-        Ended::Reset => "reset",
-        Ended::Cancelled => "cancelled",
-        Ended::Moot => "moot",
-    }
-}
+const REASONS: [Reason; 4] = [Reason::Room, Reason::Quota, Reason::Unsent, Reason::Time];
 
 const RESULTS: [Ended; 8] = [
     Ended::Ok,
@@ -223,14 +208,14 @@
         more.register("undecided", "Requests answered without a decision, by status", undecided.clone());
 
         let by_result = |family: &Family<ByResult, Counter>| {
-            RESULTS.map(|ended| family.get_or_create_owned(&ByResult { result: result(ended) }))
+            RESULTS.map(|ended| family.get_or_create_owned(&ByResult { result: ended.name() }))
         };
         Figures {
             classes: RefCell::default(),
             places: PLACES.map(|(_, place)| places.get_or_create_owned(&ByPlace { place })),
             expired: PLACES.map(|(_, place)| expired.get_or_create_owned(&ByPlace { place })),
             left: ["sent", "answered"].map(|at| left.get_or_create_owned(&ByMoment { at })),
-            refusals: REASONS.map(|(_, reason)| refusals.get_or_create_owned(&ByReason { reason })),
+            refusals: REASONS.map(|of| refusals.get_or_create_owned(&ByReason { reason: of.name() })),
             attempts: by_result(&attempts),
             calls: by_result(&calls),
             fixed,
@@ -345,7 +330,7 @@
     pub fn refusals(&self) -> BTreeMap<String, u64> {
         REASONS
             .iter()
-            .map(|(reason, name)| ((*name).to_owned(), self.refusals[*reason as usize].get()))
+            .map(|reason| (reason.name().to_owned(), self.refusals[*reason as usize].get()))
             .collect()
     }
 
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -1,7 +1,7 @@
 //! Clients: takes in their requests by HTTP/1.1 and writes the answers.
 
 use crate::config::Config;
-use crate::figures::{End, Figures, Place, Present, REASONS};
+use crate::figures::{End, Figures, Place, Present};
 use crate::logs::{Names, REQUEST};
 use crate::status::Phase;
 use crate::tables::{Class, Tables};
@@ -255,7 +255,7 @@
             line.course = course;
             line.first_byte = first_byte;
             if let Answer::Refused { reason, .. } = answer {
-                line.reason = REASONS.iter().find(|(of, _)| of == reason).map(|(_, name)| *name);
+                line.reason = Some(reason.name());
             }
         }
         now
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -266,6 +266,18 @@
     Time,
 }
 
+impl Reason {
+    /// Its name in figures and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::Room => "room",
+            Reason::Quota => "quota",
+            Reason::Unsent => "unsent",
+            Reason::Time => "time",
+        }
+    }
+}
+
 /// How an attempt, a probe or a counter call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Result {
@@ -288,6 +300,20 @@
 }
 
 impl Result {
+    /// Its name in figures and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Result::Ok => "ok",
+            Result::Error => "error",
+            Result::Full => "full",
+            Result::Timeout => "timeout",
+            Result::ConnectFailed => "connect_failed",
+            Result::Reset => "reset",
+            Result::Cancelled => "cancelled",
+            Result::Moot => "moot",
+        }
+    }
+
     /// True if the outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Result::Full | Result::ConnectFailed | Result::Moot)
