Look for no request in what follows an answer that came before the whole body

Found by reading the change again: a request refused by its head (401, 404, 503) is answered before its body is read. The splitter then took the rest of that body for the next request's head, and could begin ahead what a client had hidden in it: a request smuggled inside another.

Change: where the request whose turn it was has not been handed on whole, nothing more is looked for on that connection; the library reads on or closes, as it did before.

Test: an_answer_before_the_body_has_come_tells_nothing_of_what_the_body_holds, seen failing without the change.

--- a/overland/src/ahead.rs
+++ b/overland/src/ahead.rs
@@ -105,7 +105,9 @@
 
     /// The request whose turn it was is answered. True if the next one was told ahead.
     pub fn turn(&mut self) -> bool {
-        if self.part == Part::Through {
+        if self.part != Part::Answering {
+            // Answered before all of it came: what follows is the rest of its body, not a request.
+            self.part = Part::Through;
             return false;
         }
         self.blocked = false;
--- a/overland/tests/ahead.rs
+++ b/overland/tests/ahead.rs
@@ -90,3 +90,22 @@
     assert!(found.is_empty() && splitter.full());
     assert_eq!(hand(&mut splitter, 4096, &mut Vec::new()).len(), 8);
 }
+
+#[test]
+fn an_answer_before_the_body_has_come_tells_nothing_of_what_the_body_holds() {
+    let hidden = "GET /hidden HTTP/1.1\r\n\r\n";
+    let (first, second) = (format!("{hidden}{hidden}"), hidden);
+    let length = first.len() + second.len();
+    let head = format!("POST /1 HTTP/1.1\r\nContent-Length: {length}\r\n\r\n");
+    let (mut splitter, mut handed) = (Splitter::default(), Vec::new());
+    assert!(splitter.feed(head.as_bytes()).is_empty());
+    hand(&mut splitter, 4096, &mut handed);
+    // Refused by its head alone: the rest is for the library to read or to close upon.
+    assert!(!splitter.turn());
+    for part in [&first, second] {
+        assert!(splitter.feed(part.as_bytes()).is_empty());
+        assert!(hand(&mut splitter, 4096, &mut handed).is_empty(), "nothing in a body is a request");
+        assert!(!splitter.turn());
+    }
+    assert_eq!(handed, format!("{head}{first}{second}").as_bytes());
+}
