--- a/overland/src/calls.rs
+++ b/overland/src/calls.rs
@@ -236,7 +236,7 @@
 /// A digest of a call: the same call again has the same.
 fn digest(called: &Called) -> u64 {
     use std::hash::Hasher;
-    let mut hasher = siphasher::sip::SipHasher13::new_with_keys(0x6f61, 0x6b66);
+    let mut hasher = crate::state::hasher();
     hasher.write(called.path.as_bytes());
     hasher.write(called.body);
     hasher.finish()
--- a/overland/src/state.rs
+++ b/overland/src/state.rs
@@ -47,6 +47,11 @@
     format!("cell {zone}")
 }
 
+/// What digests are made with: the same in all processes.
+pub(crate) fn hasher() -> SipHasher13 {
+    SipHasher13::new_with_keys(0x6f61, 0x6b66)
+}
+
 /// The digest of a copy, reckoned once for each of its numbers.
 #[derive(Default)]
 pub struct Digest(Cell<(u64, u64)>);
@@ -58,7 +63,7 @@
         if index == state.index && digest != 0 {
             return digest;
         }
-        let mut hasher = SipHasher13::new_with_keys(0x6f61, 0x6b66);
+        let mut hasher = hasher();
         hasher.write(&Ranges { index: 0, ..state.ranges() }.encode_to_vec());
         let digest = hasher.finish().max(1);
         self.0.set((state.index, digest));
@@ -158,7 +163,7 @@
     pub fn ranges(&self) -> Ranges {
         let mut hashers: BTreeMap<String, SipHasher13> = BTreeMap::new();
         let mut add = |range: String, what: &[u8]| {
-            let hasher = hashers.entry(range).or_insert_with(|| SipHasher13::new_with_keys(0x6f61, 0x6b66));
+            let hasher = hashers.entry(range).or_insert_with(hasher);
             hasher.write_usize(what.len());
             hasher.write(what);
         };
