Cut the core member out of sockets and clock: events in, actions out, rooms by concern

Need: what turns the agreement into promises (is this beat acknowledged, this order taken, this answer still mine to give) lay amid sockets and timers in control.rs, where no test but one of real processes reached it, and calls.rs and control.rs imported each other.

Change: `member/` takes events with the time and gives actions, carried out in order: orders, presence, push, count, joining. A save is an action, and what it says is on disk is an event: nothing behind it is decided on a clock read before it. Each call has one stage and one function that changes it. Calls that are passed on are matched by number and by whom they were sent to. control.rs keeps sockets, disk and time; calls.rs knows pairs of types and one handler, and nobody who answers. Put and Patch are one order.

Ruled out: a task for each call inside the member (as before): a task's place in the code is no state that a test can see.

One deadline holds for a whole call (850 ms) where each of its waits had its own.

--- a/overland/src/calls.rs
+++ b/overland/src/calls.rs
@@ -2,11 +2,10 @@
 //! behind one handler.
 
 use crate::config::{Envelope, Invalid};
-use crate::control::Control;
-use crate::news::{Backend, Evacuated, Kind};
+use crate::news::{Backend, Evacuated};
 use crate::status::Status;
+use cherrytally::Millis;
 use miniserde::{Deserialize, Serialize};
-use std::rc::Rc;
 
 /// A call as it came.
 pub struct Called<'a> {
@@ -59,7 +58,8 @@
 const LATER_MS: u64 = 200;
 
 impl Refusal {
-    fn reply(&self) -> Reply {
+    /// The answer that tells it.
+    pub fn reply(&self) -> Reply {
         let (status, why) = match self {
             Refusal::Bad(why) => (400, why.as_str()),
             Refusal::Conflict(why) => (412, why.as_str()),
@@ -85,47 +85,79 @@
 
     /// Reads the question. `arg` is what follows the name in the path.
     fn read(arg: &str, query: &str, called: &Called) -> Result<Self, Refusal>;
+}
+
+/// What comes of a call that is granted.
+pub enum Outcome<A, W> {
+    /// This is the answer.
+    Now(A),
+    /// This is the answer, once what it waits for has come about.
+    Waits(A, W),
+}
+
+/// Whoever answers calls.
+pub trait Serves {
+    /// What an answer may wait for.
+    type Wait;
+
+    /// Whether it leads.
+    fn leads(&self) -> bool;
+}
+
+/// Whoever answers calls of one kind.
+pub trait Answers<C: Call>: Serves {
+    /// Answers one.
+    fn answer(&mut self, now: Millis, call: C) -> Result<Outcome<C::Answer, Self::Wait>, Refusal>;
+}
 
-    /// Answers it.
-    fn answer(
-        self, control: &Rc<Control>,
-    ) -> impl std::future::Future<Output = Result<Self::Answer, Refusal>>;
+/// What is to be done with a call.
+pub enum Served<W> {
+    /// It is answered.
+    Now(Reply),
+    /// It is answered so once what it waits for has come about.
+    Waits(Reply, W),
+    /// Who leads answers it.
+    Elsewhere,
 }
 
 /// The one handler.
-async fn serve<C: Call>(control: &Rc<Control>, arg: &str, query: &str, called: &Called<'_>) -> Reply {
+fn serve<C: Call, S: Answers<C>>(to: &mut S, now: Millis, arg: &str, called: &Called<'_>) -> Served<S::Wait> {
     if called.method != C::METHOD {
-        return Refusal::Method.reply();
+        return Served::Now(Refusal::Method.reply());
     }
-    if C::LEADER && !control.leads() {
-        return control.pass_on(called).await.unwrap_or_else(|| Refusal::Later.reply());
+    if C::LEADER && !to.leads() {
+        return Served::Elsewhere;
     }
-    let answer = match C::read(arg, query, called) {
-        Ok(call) => call.answer(control).await,
-        Err(refusal) => Err(refusal),
-    };
-    match answer {
-        Ok(answer) => Reply { status: 200, body: miniserde::json::to_string(&answer), after_ms: None },
-        Err(refusal) => refusal.reply(),
+    let query = called.path.split_once('?').map_or("", |(_, query)| query);
+    let granted =
+        |answer: &C::Answer| Reply { status: 200, body: miniserde::json::to_string(answer), after_ms: None };
+    match C::read(arg, query, called).and_then(|call| to.answer(now, call)) {
+        Ok(Outcome::Now(answer)) => Served::Now(granted(&answer)),
+        Ok(Outcome::Waits(answer, wait)) => Served::Waits(granted(&answer), wait),
+        Err(refusal) => Served::Now(refusal.reply()),
     }
 }
 
 /// Finds the call that a path names and has it answered.
-pub async fn answer(control: &Rc<Control>, called: &Called<'_>) -> Reply {
-    let (path, query) = called.path.split_once('?').unwrap_or((called.path, ""));
-    let Some(path) = path.strip_prefix("/api/") else { return Refusal::Unknown.reply() };
+pub fn answer<S>(to: &mut S, now: Millis, called: &Called<'_>) -> Served<S::Wait>
+where
+    S: Answers<Beat> + Answers<Leave> + Answers<Put> + Answers<Patch> + Answers<Get> + Answers<Evacuate>,
+    S: Answers<TakeBack> + Answers<Resolve> + Answers<Look>,
+{
+    let path = called.path.split_once('?').map_or(called.path, |(path, _)| path);
+    let Some(path) = path.strip_prefix("/api/") else { return Served::Now(Refusal::Unknown.reply()) };
     let (name, arg) = path.split_once('/').unwrap_or((path, ""));
     match name {
-        Beat::NAME => serve::<Beat>(control, arg, query, called).await,
-        Leave::NAME => serve::<Leave>(control, arg, query, called).await,
-        Put::NAME => serve::<Put>(control, arg, query, called).await,
-        Patch::NAME => serve::<Patch>(control, arg, query, called).await,
-        Get::NAME => serve::<Get>(control, arg, query, called).await,
-        Evacuate::NAME => serve::<Evacuate>(control, arg, query, called).await,
-        TakeBack::NAME => serve::<TakeBack>(control, arg, query, called).await,
-        Resolve::NAME => serve::<Resolve>(control, arg, query, called).await,
-        Look::NAME => serve::<Look>(control, arg, query, called).await,
-        _ => Refusal::Unknown.reply(),
+        Beat::NAME => serve::<Beat, S>(to, now, arg, called),
+        Leave::NAME => serve::<Leave, S>(to, now, arg, called),
+        Put::NAME => serve::<Put, S>(to, now, arg, called),
+        Patch::NAME => serve::<Patch, S>(to, now, arg, called),
+        Get::NAME => serve::<Get, S>(to, now, arg, called),
+        Evacuate::NAME => serve::<Evacuate, S>(to, now, arg, called),
+        TakeBack::NAME => serve::<TakeBack, S>(to, now, arg, called),
+        Resolve::NAME => serve::<Resolve, S>(to, now, arg, called),
+        Look::NAME => serve::<Look, S>(to, now, arg, called),
+        _ => Served::Now(Refusal::Unknown.reply()),
     }
 }
 
@@ -199,11 +231,6 @@
         };
         Ok(Beat { backend, postmark: form.postmark.unwrap_or(u64::MAX) })
     }
-
-    async fn answer(self, control: &Rc<Control>) -> Result<BeatAnswer, Refusal> {
-        control.beat(self).await?;
-        Ok(BeatAnswer { beat_address: control.address() })
-    }
 }
 
 /// A backend ends.
@@ -224,11 +251,6 @@
             id => Ok(Leave { id: id.to_owned() }),
         }
     }
-
-    async fn answer(self, control: &Rc<Control>) -> Result<Done, Refusal> {
-        control.leave(&self.id).await?;
-        Ok(Done {})
-    }
 }
 
 // ---- Operators --------------------------------------------------------------------------------------------------
@@ -242,14 +264,25 @@
     hasher.finish()
 }
 
-/// A whole configuration.
-pub struct Put {
+/// A change of the configuration that is wanted.
+pub struct Order {
     /// What it brings.
     pub envelope: Result<Envelope, Invalid>,
+    /// It changes named items; otherwise it brings a whole configuration.
+    pub patch: bool,
     /// The call's digest.
     pub digest: u64,
 }
 
+impl Order {
+    fn read(called: &Called, patch: bool) -> Order {
+        Order { envelope: Envelope::read(called.body), patch, digest: digest(called) }
+    }
+}
+
+/// A whole configuration.
+pub struct Put(pub Order);
+
 impl Call for Put {
     const NAME: &'static str = "Config.Put";
     const METHOD: &'static str = "POST";
@@ -257,22 +290,12 @@
     type Answer = Done;
 
     fn read(_: &str, _: &str, called: &Called) -> Result<Self, Refusal> {
-        Ok(Put { envelope: Envelope::read(called.body), digest: digest(called) })
-    }
-
-    async fn answer(self, control: &Rc<Control>) -> Result<Done, Refusal> {
-        control.configure(self.envelope, self.digest, |envelope, _| envelope.whole()).await?;
-        Ok(Done {})
+        Ok(Put(Order::read(called, false)))
     }
 }
 
 /// Changes of named items.
-pub struct Patch {
-    /// What it brings.
-    pub envelope: Result<Envelope, Invalid>,
-    /// The call's digest.
-    pub digest: u64,
-}
+pub struct Patch(pub Order);
 
 impl Call for Patch {
     const NAME: &'static str = "Config.Patch";
@@ -281,12 +304,7 @@
     type Answer = Done;
 
     fn read(_: &str, _: &str, called: &Called) -> Result<Self, Refusal> {
-        Ok(Patch { envelope: Envelope::read(called.body), digest: digest(called) })
-    }
-
-    async fn answer(self, control: &Rc<Control>) -> Result<Done, Refusal> {
-        control.configure(self.envelope, self.digest, |envelope, current| envelope.patched(current)).await?;
-        Ok(Done {})
+        Ok(Patch(Order::read(called, true)))
     }
 }
 
@@ -302,18 +320,13 @@
     fn read(_: &str, _: &str, _: &Called) -> Result<Self, Refusal> {
         Ok(Get)
     }
-
-    async fn answer(self, control: &Rc<Control>) -> Result<miniserde::json::Value, Refusal> {
-        let text = control.configuration().ok_or(Refusal::Later)?;
-        miniserde::json::from_str(&text).map_err(|_| Refusal::Later)
-    }
 }
 
 /// A zone is to be emptied.
-pub struct Evacuate(Evacuated);
+pub struct Evacuate(pub Evacuated);
 
 /// A zone is to be taken back.
-pub struct TakeBack(Evacuated);
+pub struct TakeBack(pub Evacuated);
 
 fn zone(arg: &str, on: bool) -> Result<Evacuated, Refusal> {
     match arg {
@@ -331,11 +344,6 @@
     fn read(arg: &str, _: &str, _: &Called) -> Result<Self, Refusal> {
         zone(arg, true).map(Evacuate)
     }
-
-    async fn answer(self, control: &Rc<Control>) -> Result<Done, Refusal> {
-        control.agree(Kind::Evacuated(self.0)).await?;
-        Ok(Done {})
-    }
 }
 
 impl Call for TakeBack {
@@ -347,11 +355,6 @@
     fn read(arg: &str, _: &str, _: &Called) -> Result<Self, Refusal> {
         zone(arg, false).map(TakeBack)
     }
-
-    async fn answer(self, control: &Rc<Control>) -> Result<Done, Refusal> {
-        control.agree(Kind::Evacuated(self.0)).await?;
-        Ok(Done {})
-    }
 }
 
 /// The system as this process sees it is wanted.
@@ -366,10 +369,6 @@
     fn read(_: &str, _: &str, _: &Called) -> Result<Self, Refusal> {
         Ok(Look)
     }
-
-    async fn answer(self, control: &Rc<Control>) -> Result<Status, Refusal> {
-        Ok(control.status())
-    }
 }
 
 // ---- Clients ----------------------------------------------------------------------------------------------------
@@ -404,8 +403,4 @@
         };
         Ok(Resolve { region: named("region"), zone: named("zone") })
     }
-
-    async fn answer(self, control: &Rc<Control>) -> Result<Resolved, Refusal> {
-        control.resolve(&self).ok_or(Refusal::Later)
-    }
 }
--- /dev/null
+++ b/overland/src/member/joining.rs
@@ -0,0 +1,123 @@
+//! Other core processes: what they say, those that want to be members, calls that are passed on to who leads, and
+//! copies that are compared.
+
+use super::{Action, Caller, Member, Next, Stage, Waiting, CALL_MS};
+use crate::agreement::{Event, Letter, Name};
+use crate::calls::{Called, Refusal, Reply};
+use crate::news::{Forwarded, Range, Ranges, Word};
+use cherrytally::Millis;
+use std::net::SocketAddr;
+
+/// A call that was passed on: to whom, under which number.
+pub(super) struct Passed {
+    to: Name,
+    number: u64,
+}
+
+/// When a caller may come back whom the leader refused, in ms.
+const LATER_MS: u64 = 200;
+
+impl Member {
+    /// Another core process said something.
+    pub(super) fn heard(&mut self, now: Millis, from: Name, word: Word, out: &mut Vec<Action>) {
+        match word {
+            Word::Agreement(Letter { say: Some(say) }) => {
+                self.next.push_back(Next::Event(Event::Heard { from, say }));
+            }
+            Word::Agreement(_) => {}
+            Word::Call(call) => self.passed_on(now, from, &call, out),
+            Word::Answer(answer) => self.answered(&from, answer, out),
+            Word::Compare(theirs) => self.compared(&from, &theirs, out),
+            Word::Differs(theirs) => {
+                let mend = self.state.mend_for(now, &theirs);
+                if let Some(mend) = mend.filter(|_| self.leads()) {
+                    self.tell(&from, Word::Mend(mend), out);
+                }
+            }
+            Word::Mend(mend) => {
+                let names = mend.names.join(", ");
+                if !self.leads() && self.state.mend(now, mend) {
+                    log::warn!("core: mended: {names}");
+                    self.digest.forget();
+                }
+            }
+            Word::Join(_) => match self.agreement.leader().cloned() {
+                Some(leader) if leader == self.me => self.next.push_back(Next::Event(Event::Join(from))),
+                Some(leader) => out.push(Action::Pass { to: leader, from }),
+                None => {}
+            },
+        }
+    }
+
+    pub(super) fn tell(&self, to: &Name, word: Word, out: &mut Vec<Action>) {
+        if *to != self.me {
+            out.push(Action::Tell { to: to.clone(), word });
+        }
+    }
+
+    /// Asks the core processes that it knows to let it be a member, where it is none.
+    pub(super) fn ask_to_join(&self, out: &mut Vec<Action>) {
+        if self.agreement.apart() {
+            let seeds = self.seeds.iter().map(SocketAddr::to_string);
+            for core in seeds.chain(self.agreement.members().iter().cloned()) {
+                self.tell(&core, Word::Join(true), out);
+            }
+        }
+    }
+
+    // ---- Calls that are passed on ---------------------------------------------------------------------------
+
+    /// Has a call answered by who leads.
+    pub(super) fn pass_on(&mut self, now: Millis, caller: Caller, called: &Called, out: &mut Vec<Action>) {
+        let leader = self.agreement.leader().cloned().filter(|_| matches!(caller, Caller::Outside(_)));
+        // Whoever was passed a call and does not lead either passes it to nobody.
+        let Some(to) = leader else { return self.refuse(&caller, &Refusal::Later, out) };
+        let number = self.number;
+        self.number = number.wrapping_add(1);
+        let path = format!("{} {}", called.method, called.path);
+        let call = Forwarded { number, path, body: called.body.to_vec(), status: 0 };
+        self.tell(&to, Word::Call(call), out);
+        let (granted, until) = (Refusal::Later.reply(), now + CALL_MS);
+        let stage = Stage::Passed(Passed { to, number });
+        self.calls.insert(caller, Waiting { granted, until, stage });
+    }
+
+    /// A call that another core process passed on.
+    fn passed_on(&mut self, now: Millis, from: Name, call: &Forwarded, out: &mut Vec<Action>) {
+        let Some((method, path)) = call.path.split_once(' ') else { return };
+        let caller = Caller::Member(from, call.number);
+        self.called(now, caller, &Called { method, path, body: &call.body }, out);
+    }
+
+    /// The answer to a call that was passed on.
+    fn answered(&mut self, from: &Name, answer: Forwarded, out: &mut Vec<Action>) {
+        let Forwarded { number, body, status, .. } = answer;
+        let mine = |stage: &Stage| matches!(stage, Stage::Passed(p) if p.number == number && p.to == *from);
+        let caller = self.calls.iter().find(|(_, w)| mine(&w.stage)).map(|(caller, _)| caller.clone());
+        let (Some(caller), Ok(status)) = (caller, u16::try_from(status)) else { return };
+        let body = String::from_utf8(body).unwrap_or_default();
+        let after_ms = (status == 503).then_some(LATER_MS);
+        self.reply(&caller, Reply { status, body, after_ms }, out);
+    }
+
+    // ---- Copies that are compared ---------------------------------------------------------------------------
+
+    /// The leader told the digest of its copy: where one's own differs its ranges are told.
+    fn compared(&self, leader: &Name, theirs: &Ranges, out: &mut Vec<Action>) {
+        let digest = theirs.ranges.first().map(|whole| whole.digest);
+        let same = theirs.index != self.state.index || digest == Some(self.digest.of(&self.state));
+        if !same && self.agreement.leader() == Some(leader) {
+            log::warn!("core: the copy of change {} differs from the leader's", self.state.index);
+            self.tell(leader, Word::Differs(self.state.ranges()), out);
+        }
+    }
+
+    /// Tells the other members the digest of one's copy.
+    pub(super) fn compare(&self, out: &mut Vec<Action>) {
+        let whole = Range { name: String::new(), digest: self.digest.of(&self.state) };
+        let ranges = Ranges { index: self.state.index, ranges: vec![whole] };
+        for member in self.agreement.members() {
+            self.tell(member, Word::Compare(ranges.clone()), out);
+        }
+    }
+}
--- /dev/null
+++ b/overland/src/member/mod.rs
@@ -0,0 +1,562 @@
+//! A core process's part in the system, without sockets, clock or disk: what happens comes in as [`Event`]s with the
+//! time, what is to be done goes out as [`Action`]s, to be carried out in order. `control.rs` keeps sockets and time.
+//!
+//! Rooms by concern: `orders` the operators' calls, `presence` backends and gateways, `push` what agents are told,
+//! `count` the tenants' counts, `joining` other core processes. What is promised with each answer, and what backs it,
+//! stands in `docs/system/control.md`.
+
+mod count;
+mod joining;
+mod orders;
+mod presence;
+mod push;
+
+use crate::agreement::{self, Agreement, Entry, Letter, Name, Save, Saved};
+use crate::calls::{self, Called, Outcome, Refusal, Reply, Served, Serves};
+use crate::news::{Change, Charges, Forwarded, FromAgent, Kind, ToAgent, Totals, Whole, Word};
+use crate::settings::Settings;
+use crate::state::{Digest, State, Touched};
+use crate::store::Pace;
+use cherrytally::Millis;
+use eyre::{eyre, Result};
+use joining::Passed;
+use orders::Turn;
+use presence::Presence;
+use prost::Message;
+use push::Agent;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// Ticks between two rounds of what is done now and then.
+const HOUSE_TICKS: u32 = 20;
+/// The leader tells the digest of its copy to the others each so many ticks: a copy that differs is a fault, and rare.
+const COMPARE_TICKS: u32 = 200;
+/// How often a member is told that time has passed, in ms.
+pub const TICK_MS: Millis = 25.0;
+/// A caller waits a second for an answer; it has one before that, in ms.
+pub const CALL_MS: Millis = 850.0;
+/// Log entries before the state takes their place.
+const LOG_MOST: usize = 512;
+/// A leader with a slow disk hands over no more often, in ms: with all disks slow there is nobody better.
+const HAND_AGAIN_MS: Millis = 10_000.0;
+
+/// What happens at a core process.
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// What [`Action::Save`] wanted is on disk. It comes before any other event.
+    Saved {
+        /// How long that took, in ms.
+        took_ms: f64,
+    },
+    /// Another core process said something.
+    Heard {
+        /// Who.
+        from: Name,
+        /// What.
+        word: Word,
+    },
+    /// A call came from outside.
+    Called {
+        /// Its number here.
+        call: u64,
+        /// Its method.
+        method: String,
+        /// Its path, with its query.
+        path: String,
+        /// Its body.
+        body: Vec<u8>,
+    },
+    /// Nobody waits for the answer to this call any more.
+    Left(u64),
+    /// An agent's word.
+    Agent {
+        /// The link it came on.
+        link: u64,
+        /// What it says.
+        word: FromAgent,
+    },
+    /// A proxy's charges.
+    Charged {
+        /// The link they came on.
+        link: u64,
+        /// What is charged.
+        charges: Charges,
+    },
+    /// A link to an agent or a proxy has ended.
+    Closed(u64),
+    /// The settings name other core processes.
+    Seeds(Vec<SocketAddr>),
+    /// The process is told to end.
+    End,
+}
+
+/// What a core process is to do, in order.
+#[derive(Debug)]
+pub enum Action {
+    /// Bring to disk before all that follows, and tell [`Event::Saved`] then.
+    Save(Box<Save>),
+    /// Tell another core process. It may be lost.
+    Tell {
+        /// Whom.
+        to: Name,
+        /// What.
+        word: Word,
+    },
+    /// Answer a call from outside.
+    Answer {
+        /// Its number.
+        call: u64,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Tell another core process, in the name of a third, that this one wants to be a member.
+    Pass {
+        /// Whom.
+        to: Name,
+        /// Who wants to be one.
+        from: Name,
+    },
+    /// Tell an agent. Where that can't be, its link ends.
+    Say {
+        /// On which link.
+        link: u64,
+        /// What.
+        news: Box<ToAgent>,
+    },
+    /// Answer charges.
+    Count {
+        /// On which link.
+        link: u64,
+        /// The totals.
+        totals: Totals,
+    },
+    /// Nothing may follow from what is here: the process ends.
+    Stop(String),
+}
+
+/// Who waits for an answer.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Caller {
+    /// A caller from outside, by its number.
+    Outside(u64),
+    /// Another core process that passed a call on, and its number there.
+    Member(Name, u64),
+}
+
+/// What an answer waits for.
+pub enum Wait {
+    /// A change that is agreed on.
+    Agreed(Kind),
+    /// An order that is taken, and in force.
+    Order(calls::Order),
+}
+
+/// A call in hand.
+struct Waiting {
+    /// What is answered when it is granted.
+    granted: Reply,
+    /// When it is let go.
+    until: Millis,
+    stage: Stage,
+}
+
+/// Where a call stands.
+enum Stage {
+    /// The leader was asked.
+    Passed(Passed),
+    /// An order that waits for its turn.
+    Queued(calls::Order),
+    /// Its change is about to be proposed.
+    Proposing,
+    /// Its change is proposed as this entry, in this term.
+    Proposed { index: u64, term: u64 },
+    /// Its change is agreed on, and waits to be in force at every gateway.
+    Enforcing { index: u64 },
+}
+
+/// What the agreement is to be told next.
+enum Next {
+    Event(agreement::Event),
+    /// A change is wanted, and who waits for it.
+    Propose(Kind, Option<Caller>),
+}
+
+/// A core process.
+pub struct Member {
+    settings: Settings,
+    me: Name,
+    /// Core processes that the settings name, as they were last read.
+    seeds: Vec<SocketAddr>,
+    agreement: Agreement,
+    state: State,
+    digest: Digest,
+    /// What the agreement wanted that is not done yet: a save comes first.
+    behind: VecDeque<agreement::Action>,
+    /// What it is to be told after that.
+    next: VecDeque<Next>,
+    saving: bool,
+    /// The state has changed since agents were last told.
+    applied: bool,
+    /// The agents were told that it leads.
+    told: bool,
+    pace: Pace,
+    /// When it last handed over for its slow disk.
+    handed: Option<Millis>,
+    calls: BTreeMap<Caller, Waiting>,
+    turn: Turn,
+    presence: Presence,
+    agents: BTreeMap<u64, Agent>,
+    count: count::Count,
+    /// The number of the next call that is passed on.
+    number: u64,
+    ticks: u32,
+    rng: fastrand::Rng,
+}
+
+impl Member {
+    /// A core process that starts with what its disk holds, and what is to be on disk before it does anything.
+    pub fn start(
+        settings: Settings, disk: Option<Saved>, seed: u64, now: Millis,
+    ) -> Result<(Member, Option<Save>)> {
+        let address = settings.control.ok_or_else(|| eyre!("network.docks_at.control is missing"))?;
+        let me = address.to_string();
+        let founds = disk.is_none() && settings.first_start && settings.seeds.contains(&address);
+        let (saved, first) = match disk {
+            Some(saved) => (saved, None),
+            None if founds => {
+                let saved = Agreement::found(settings.seeds.iter().map(SocketAddr::to_string).collect());
+                let (vow, base) = (saved.vow.clone(), Some(saved.base.clone()));
+                (saved, Some(Save { vow, entries: None, base }))
+            }
+            None => Default::default(),
+        };
+        log::info!(
+            "core: {me} starts, {} entries behind {}, {}",
+            saved.entries.len(),
+            saved.base.index,
+            if founds { "founds" } else { "known" }
+        );
+        let whole =
+            Whole::decode(&saved.base.state[..]).map_err(|_| eyre!("the state on disk can't be read"))?;
+        let state = State { index: saved.base.index, ..State::from_whole(now, whole) };
+        let member = Member {
+            seeds: settings.seeds.clone(),
+            agreement: Agreement::new(me.clone(), saved, seed, now),
+            settings,
+            me,
+            state,
+            digest: Digest::default(),
+            behind: VecDeque::new(),
+            next: VecDeque::new(),
+            saving: false,
+            applied: false,
+            told: false,
+            pace: Pace::default(),
+            handed: None,
+            calls: BTreeMap::new(),
+            turn: Turn::default(),
+            presence: Presence::default(),
+            agents: BTreeMap::new(),
+            count: count::Count::default(),
+            number: seed >> 16,
+            ticks: 0,
+            rng: fastrand::Rng::with_seed(seed),
+        };
+        Ok((member, first))
+    }
+
+    /// Its name: where it is called.
+    pub fn name(&self) -> &Name {
+        &self.me
+    }
+
+    /// Whether it leads.
+    pub fn leads(&self) -> bool {
+        self.agreement.leads()
+    }
+
+    /// Its copy of the agreed state.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Its part in the agreement.
+    pub fn agreement(&self) -> &Agreement {
+        &self.agreement
+    }
+
+    /// Whether it may answer for all.
+    fn vouches(&self, now: Millis) -> bool {
+        self.agreement.vouches(now)
+    }
+
+    /// Takes in one event and appends what is to be done.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        debug_assert!(!self.saving || matches!(event, Event::Saved { .. }), "what is saved comes first");
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::Saved { took_ms } => self.saved(now, took_ms),
+            Event::Heard { from, word } => self.heard(now, from, word, out),
+            Event::Called { call, method, path, body } => {
+                let called = Called { method: &method, path: &path, body: &body };
+                self.called(now, Caller::Outside(call), &called, out);
+            }
+            Event::Left(call) => self.let_go(&Caller::Outside(call)),
+            Event::Agent { link, word } => self.agent_said(now, link, word, out),
+            Event::Charged { link, charges } => self.charged(now, link, &charges, out),
+            Event::Closed(link) => drop(self.agents.remove(&link)),
+            Event::Seeds(seeds) => self.seeds = seeds,
+            Event::End if self.leads() => self.next.push_back(Next::Event(agreement::Event::Resign)),
+            Event::End => {}
+        }
+        self.go_on(now, out);
+    }
+
+    fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.ticks = self.ticks.wrapping_add(1);
+        self.next.push_back(Next::Event(agreement::Event::Tick));
+        self.go_on(now, out);
+        if self.ticks.is_multiple_of(HOUSE_TICKS) {
+            self.keep_house(now, out);
+        }
+        if self.ticks.is_multiple_of(COMPARE_TICKS) && self.leads() {
+            self.compare(out);
+        }
+        let late: Vec<_> =
+            self.calls.iter().filter(|(_, w)| now > w.until).map(|(caller, _)| caller.clone()).collect();
+        for caller in late {
+            self.refuse(&caller, &Refusal::Later, out);
+        }
+        self.enforce(now, out);
+    }
+
+    /// What is done now and then.
+    fn keep_house(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.ask_to_join(out);
+        self.agents.retain(|_, agent| now - agent.heard < presence::GONE_MS);
+        if !self.vouches(now) {
+            return;
+        }
+        for kind in self.changes_of_presence(now) {
+            self.next.push_back(Next::Propose(kind, None));
+        }
+        self.count.sweep(now);
+    }
+
+    // ---- Agreement ------------------------------------------------------------------------------------------
+
+    /// A save is done: what waited for it goes on.
+    fn saved(&mut self, now: Millis, took_ms: f64) {
+        self.saving = false;
+        let lately = self.handed.is_some_and(|at| now - at < HAND_AGAIN_MS);
+        if self.pace.saved(took_ms) && self.leads() && !lately {
+            log::warn!("core: the disk is slow; another should lead");
+            self.handed = Some(now);
+            // What this save is for goes on first.
+            self.next.push_back(Next::Event(agreement::Event::Resign));
+        }
+    }
+
+    /// Carries out what the agreement wants, as far as that goes without a save, and tells it what comes next.
+    fn go_on(&mut self, now: Millis, out: &mut Vec<Action>) {
+        while !self.saving {
+            if let Some(action) = self.behind.pop_front() {
+                self.act(now, action, out);
+            } else if std::mem::take(&mut self.applied) {
+                self.compact(now);
+                self.push(now, out);
+                if self.vouches(now) && !std::mem::replace(&mut self.told, true) {
+                    self.pulse(now, out);
+                }
+            } else {
+                if self.next.is_empty() {
+                    self.take_turns(now, out);
+                }
+                let event = match self.next.pop_front() {
+                    Some(Next::Event(event)) => event,
+                    Some(Next::Propose(kind, caller)) => match self.propose(kind, caller, out) {
+                        Some(event) => event,
+                        None => continue,
+                    },
+                    None => return,
+                };
+                let mut actions = Vec::new();
+                self.agreement.handle(now, event, &mut actions);
+                self.behind.extend(actions);
+            }
+        }
+    }
+
+    /// A change is proposed, and somebody may wait for it. None where this process does not lead.
+    fn propose(
+        &mut self, kind: Kind, caller: Option<Caller>, out: &mut Vec<Action>,
+    ) -> Option<agreement::Event> {
+        if !self.agreement.leads() {
+            if let Some(caller) = caller {
+                self.refuse(&caller, &Refusal::Later, out);
+            }
+            return None;
+        }
+        if let Some(caller) = caller {
+            let (index, term) = (self.agreement.last() + 1, self.agreement.term());
+            self.become_stage(&caller, Stage::Proposed { index, term });
+        }
+        Some(agreement::Event::Propose(Change { kind: Some(kind) }.encode_to_vec()))
+    }
+
+    fn act(&mut self, now: Millis, action: agreement::Action, out: &mut Vec<Action>) {
+        match action {
+            agreement::Action::Save(save) => {
+                self.saving = true;
+                out.push(Action::Save(Box::new(save)));
+            }
+            agreement::Action::Send { to, say } => {
+                self.tell(&to, Word::Agreement(Letter { say: Some(say) }), out);
+            }
+            agreement::Action::Apply(entry) => self.apply(now, &entry, out),
+            agreement::Action::Restore { index, state } => match Whole::decode(&state[..]) {
+                Ok(whole) => {
+                    self.state = State { index, ..State::from_whole(now, whole) };
+                    self.applied = true;
+                }
+                Err(_) => out.push(Action::Stop(format!("the state {index} that was sent can't be read"))),
+            },
+            agreement::Action::Leads(leads) => self.take_duty(now, leads, out),
+        }
+    }
+
+    fn apply(&mut self, now: Millis, entry: &Entry, out: &mut Vec<Action>) {
+        self.applied = true;
+        let touched = self.state.apply(now, entry.index, change_in(entry).as_ref());
+        if touched == Touched::Config {
+            self.take_limits();
+        }
+        let waits = |stage: &Stage| matches!(stage, Stage::Proposed { index, .. } if *index == entry.index);
+        let caller = self.calls.iter().find(|(_, w)| waits(&w.stage)).map(|(caller, _)| caller.clone());
+        let Some(caller) = caller else { return };
+        let term = self.calls.get(&caller).and_then(|w| match w.stage {
+            Stage::Proposed { term, .. } => Some(term),
+            _ => None,
+        });
+        // Another term's entry in its place means that it was not taken.
+        if term != Some(entry.term) {
+            self.refuse(&caller, &Refusal::Later, out);
+        } else if self.turn.is(&caller) {
+            self.become_stage(&caller, Stage::Enforcing { index: entry.index });
+            self.enforce(now, out);
+        } else {
+            self.grant(&caller, out);
+        }
+    }
+
+    /// Begins to lead, or ends.
+    fn take_duty(&mut self, now: Millis, leads: bool, out: &mut Vec<Action>) {
+        log::info!("core: {} in term {}", if leads { "leads" } else { "follows" }, self.agreement.term());
+        self.told = false;
+        self.presence = Presence::since(now);
+        let slack = self.settings.bounds.quota_slack;
+        self.count = if leads {
+            count::Count::begin(now, self.agreement.term(), slack)
+        } else {
+            count::Count::default()
+        };
+        self.take_limits();
+        if !leads {
+            // What came of them is not known: the same call again finds out.
+            let mine = self.calls.iter().filter(|(_, w)| !matches!(w.stage, Stage::Passed(_)));
+            let mine: Vec<_> = mine.map(|(caller, _)| caller.clone()).collect();
+            for caller in mine {
+                self.refuse(&caller, &Refusal::Later, out);
+            }
+        }
+    }
+
+    fn compact(&mut self, now: Millis) {
+        if self.agreement.log_length() < LOG_MOST {
+            return;
+        }
+        let state = self.state.whole(now, true).encode_to_vec();
+        let mut actions = Vec::new();
+        self.agreement.compact(state, &mut actions);
+        self.behind.extend(actions);
+    }
+
+    // ---- Calls ----------------------------------------------------------------------------------------------
+
+    /// A call came.
+    fn called(&mut self, now: Millis, caller: Caller, called: &Called, out: &mut Vec<Action>) {
+        match calls::answer(self, now, called) {
+            Served::Now(reply) => self.reply(&caller, reply, out),
+            Served::Waits(granted, wait) => {
+                let until = now + CALL_MS;
+                match wait {
+                    Wait::Agreed(kind) => {
+                        let stage = Stage::Proposing;
+                        self.calls.insert(caller.clone(), Waiting { granted, until, stage });
+                        self.next.push_back(Next::Propose(kind, Some(caller)));
+                    }
+                    Wait::Order(order) => {
+                        let stage = Stage::Queued(order);
+                        self.calls.insert(caller.clone(), Waiting { granted, until, stage });
+                        self.turn.wait(caller);
+                    }
+                }
+            }
+            Served::Elsewhere => self.pass_on(now, caller, called, out),
+        }
+    }
+
+    /// The one place where a call's stage changes.
+    fn become_stage(&mut self, caller: &Caller, stage: Stage) {
+        if let Some(waiting) = self.calls.get_mut(caller) {
+            waiting.stage = stage;
+        }
+    }
+
+    fn grant(&mut self, caller: &Caller, out: &mut Vec<Action>) {
+        if let Some(waiting) = self.calls.get(caller) {
+            let granted = waiting.granted.clone();
+            self.reply(caller, granted, out);
+        }
+    }
+
+    fn refuse(&mut self, caller: &Caller, why: &Refusal, out: &mut Vec<Action>) {
+        self.reply(caller, why.reply(), out);
+    }
+
+    /// Answers whoever called, and is done with the call.
+    fn reply(&mut self, caller: &Caller, reply: Reply, out: &mut Vec<Action>) {
+        self.let_go(caller);
+        match caller {
+            Caller::Outside(call) => out.push(Action::Answer { call: *call, reply }),
+            Caller::Member(name, number) => {
+                let (body, status) = (reply.body.into_bytes(), u32::from(reply.status));
+                let answer = Forwarded { number: *number, path: String::new(), body, status };
+                self.tell(name, Word::Answer(answer), out);
+            }
+        }
+    }
+
+    /// Is done with a call.
+    fn let_go(&mut self, caller: &Caller) {
+        self.calls.remove(caller);
+        self.turn.leave(caller);
+    }
+}
+
+impl Serves for Member {
+    type Wait = Wait;
+
+    fn leads(&self) -> bool {
+        self.agreement.leads()
+    }
+}
+
+/// What comes of a call to a member.
+type Granted<A> = Result<Outcome<A, Wait>, Refusal>;
+
+/// The change in an entry; none in those of the agreement's own.
+fn change_in(entry: &Entry) -> Option<Change> {
+    Change::decode(&entry.data[..]).ok().filter(|_| !entry.data.is_empty())
+}
--- /dev/null
+++ b/overland/src/member/presence.rs
@@ -0,0 +1,208 @@
+//! Who is present: backends by their beats, gateways by their agents' words. Only who leads knows when it heard of
+//! each; what of it must last is agreed on.
+
+use super::{Granted, Member, Wait};
+use crate::calls::{Answers, Beat, BeatAnswer, Done, Leave, Look, Outcome, Refusal, Resolve, Resolved};
+use crate::news::{Backend, Gateway, Kind};
+use crate::status::{CountLine, GatewayLine, ServiceLine, Status};
+use cherrytally::Millis;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// An agent that was not heard for so long has no part in what clients are told, in ms.
+const HEARD_MS: Millis = 1500.0;
+/// A gateway that was not heard for so long is left out, in ms: it may be cut off and come back.
+pub(super) const GONE_MS: Millis = 60_000.0;
+/// A backend that missed so many beats is left out.
+const BEATS: f64 = 4.0;
+/// A backend that left is remembered for so long, in ms: a beat of its may still be on the way.
+const LEFT_MS: Millis = 30_000.0;
+/// A cold time that ends so much later than known is a new one, in ms.
+const COLD_SLACK_MS: Millis = 400.0;
+/// Addresses that a client is told at most.
+const ADDRESSES: usize = 64;
+/// Gateways that a client is told at least, where there are so many: one may fail.
+const ADDRESSES_LEAST: usize = 2;
+/// Longest that a client may go by an answer, beside the platform's own limit.
+const TTL: Duration = Duration::from_secs(2);
+
+/// What the leader alone knows of who is present.
+#[derive(Default)]
+pub(super) struct Presence {
+    since: Millis,
+    /// When each backend was last heard, and its last postmark.
+    beats: BTreeMap<String, (Millis, u64)>,
+    /// Backends that left, and when.
+    left: BTreeMap<String, Millis>,
+    /// When each gateway was last told that it is up to date, and what it holds.
+    gates: BTreeMap<String, (Millis, u64)>,
+}
+
+impl Presence {
+    /// Nothing is known yet.
+    pub(super) fn since(now: Millis) -> Self {
+        Presence { since: now, ..Presence::default() }
+    }
+
+    /// When a gateway was last told that it is up to date, and what it holds.
+    pub(super) fn gate(&self, node: &str) -> (Millis, u64) {
+        self.gates.get(node).copied().unwrap_or((self.since, 0))
+    }
+
+    /// A gateway is told that it is up to date.
+    pub(super) fn told(&mut self, now: Millis, node: &str, held: u64) {
+        self.gates.insert(node.to_owned(), (now, held));
+    }
+}
+
+impl Answers<Beat> for Member {
+    fn answer(&mut self, now: Millis, Beat { backend, postmark }: Beat) -> Granted<BeatAnswer> {
+        let answer = BeatAnswer { beat_address: self.me.clone() };
+        let presence = &mut self.presence;
+        if presence.left.contains_key(&backend.id) {
+            return Ok(Outcome::Now(answer));
+        }
+        let last = presence.beats.entry(backend.id.clone()).or_insert((now, 0));
+        last.0 = now;
+        if postmark < last.1 {
+            // An earlier call that comes late says nothing new.
+            return Ok(Outcome::Now(answer));
+        }
+        last.1 = postmark;
+        let known = self.state.backends.get(&backend.id).is_some_and(|known| {
+            let cold_until = now + backend.cold_ms as f64;
+            let same =
+                Backend { cold_ms: 0, ..known.backend.clone() } == Backend { cold_ms: 0, ..backend.clone() };
+            same && (backend.cold_ms == 0 || cold_until < known.cold_until + COLD_SLACK_MS)
+        });
+        if known {
+            return Ok(Outcome::Now(answer));
+        }
+        Ok(Outcome::Waits(answer, Wait::Agreed(Kind::Backend(backend))))
+    }
+}
+
+impl Answers<Leave> for Member {
+    fn answer(&mut self, now: Millis, Leave { id }: Leave) -> Granted<Done> {
+        self.presence.left.insert(id.clone(), now);
+        if !self.state.backends.contains_key(&id) {
+            return Ok(Outcome::Now(Done {}));
+        }
+        Ok(Outcome::Waits(Done {}, Wait::Agreed(Kind::BackendGone(id))))
+    }
+}
+
+impl Answers<Resolve> for Member {
+    /// Gateways for a client: those near it that take clients.
+    fn answer(&mut self, now: Millis, of: Resolve) -> Granted<Resolved> {
+        let ready: BTreeMap<&str, &Gateway> = self
+            .agents
+            .values()
+            .filter(|agent| agent.word.ready && now - agent.heard < HEARD_MS)
+            .map(|agent| (agent.gateway.node.as_str(), &agent.gateway))
+            .collect();
+        let region = |zone: &str| self.settings.zones.get(zone).map(String::as_str);
+        let near: Vec<_> =
+            ready.values().filter(|word| region(&word.zone) == Some(of.region.as_str())).collect();
+        let mut addresses: Vec<String> = if near.len() >= ADDRESSES_LEAST {
+            near.iter().map(|word| word.front.clone()).collect()
+        } else {
+            ready.values().map(|word| word.front.clone()).collect()
+        };
+        self.rng.shuffle(&mut addresses);
+        addresses.truncate(ADDRESSES);
+        if addresses.is_empty() {
+            return Err(Refusal::Later);
+        }
+        let ttl = TTL.min(self.settings.bounds.ttl_max);
+        Ok(Outcome::Now(Resolved { addresses, ttl: format!("{}ms", ttl.as_millis()) }))
+    }
+}
+
+impl Answers<Look> for Member {
+    fn answer(&mut self, now: Millis, _: Look) -> Granted<Status> {
+        Ok(Outcome::Now(self.status(now)))
+    }
+}
+
+impl Member {
+    /// Who was silent for too long, and which gateways tell something new of themselves.
+    pub(super) fn changes_of_presence(&mut self, now: Millis) -> Vec<Kind> {
+        let (presence, state) = (&mut self.presence, &self.state);
+        let mut changes = Vec::new();
+        let silent = self.settings.beat.as_secs_f64() * 1000.0 * BEATS;
+        for id in state.backends.keys() {
+            let heard = presence.beats.get(id).map_or(presence.since, |(at, _)| *at);
+            if now - heard > silent {
+                log::info!("core: silent for too long: {id}");
+                changes.push(Kind::BackendGone(id.clone()));
+            }
+        }
+        for node in state.gateways.keys() {
+            if now - presence.gate(node).0 > GONE_MS {
+                log::info!("core: silent for too long: {node}");
+                changes.push(Kind::GatewayGone(node.clone()));
+            }
+        }
+        presence.beats.retain(|id, _| state.backends.contains_key(id));
+        presence.left.retain(|_, at| now - *at < LEFT_MS);
+        let heard = self.agents.values().filter(|agent| now - agent.heard < HEARD_MS);
+        let known = heard.map(|agent| &agent.gateway).filter(|gateway| !gateway.front.is_empty());
+        let new = known.filter(|gateway| state.gateways.get(&gateway.node) != Some(gateway));
+        changes.extend(new.cloned().map(Kind::Gateway));
+        changes
+    }
+
+    /// The system as this process sees it.
+    fn status(&self, now: Millis) -> Status {
+        let (agreement, state) = (&self.agreement, &self.state);
+        let gateway = |gateway: &Gateway| {
+            let heard = self.agents.values().filter(|agent| agent.gateway.node == gateway.node);
+            let agent = heard.max_by(|a, b| a.heard.total_cmp(&b.heard));
+            GatewayLine {
+                node: gateway.node.clone(),
+                zone: gateway.zone.clone(),
+                front: gateway.front.clone(),
+                ready: agent.is_some_and(|agent| agent.word.ready),
+                held: agent.map_or(0, |agent| agent.word.held),
+                applied: agent.map_or(0, |agent| agent.word.applied),
+                heard_ms: agent.map(|agent| (now - agent.heard).max(0.0) as u64),
+            }
+        };
+        let mut services = BTreeMap::new();
+        for known in state.backends.values() {
+            let Backend { service, zone, closing, berths, .. } = &known.backend;
+            let line: &mut ServiceLine = services.entry((service, zone)).or_default();
+            if *closing {
+                line.closing += 1;
+            } else {
+                line.open += 1;
+                line.cold += u64::from(known.cold_until > now);
+                line.berths += u64::from(*berths);
+            }
+        }
+        let named = services.into_iter().map(|((service, zone), line)| ServiceLine {
+            service: service.clone(),
+            zone: zone.clone(),
+            ..line
+        });
+        let count =
+            |(tenant, per_s, units): (&str, f64, i64)| CountLine { tenant: tenant.to_owned(), per_s, units };
+        Status {
+            address: self.me.clone(),
+            node: self.settings.node.clone(),
+            leader: agreement.leader().cloned().unwrap_or_default(),
+            vouches: agreement.vouches(now),
+            term: agreement.term(),
+            index: state.index,
+            digest: format!("{:016x}", self.digest.of(state)),
+            log: agreement.log_length() as u64,
+            members: agreement.members().to_vec(),
+            edition: state.config.as_ref().map_or(String::new(), |config| format!("r{}", config.edition)),
+            evacuated: state.evacuated.iter().cloned().collect(),
+            gateways: state.gateways.values().map(gateway).collect(),
+            services: named.collect(),
+            counts: self.count.counts(now).map(count).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/overland/src/member/push.rs
@@ -0,0 +1,99 @@
+//! What agents are told: who leads, and numbered changes.
+
+use super::{change_in, Action, Member};
+use crate::agreement::Name;
+use crate::news::{FromAgent, Gateway, Numbered, Pulse, ToAgent};
+use cherrytally::Millis;
+
+/// An agent's link.
+pub(super) struct Agent {
+    pub(super) gateway: Gateway,
+    /// Its last word.
+    pub(super) word: FromAgent,
+    /// The members that it was told of.
+    members: Vec<Name>,
+    pub(super) heard: Millis,
+    /// The number up to which it was sent changes here.
+    sent: u64,
+}
+
+impl Member {
+    /// An agent said something.
+    pub(super) fn agent_said(&mut self, now: Millis, link: u64, mut word: FromAgent, out: &mut Vec<Action>) {
+        let leads = self.vouches(now);
+        let mut pulse = self.pulse_at(word.at, leads);
+        let members = self.agreement.members().to_vec();
+        let (follows, held, applied) = (word.follows, word.held, word.applied);
+        let ranges = word.ranges.take().filter(|_| leads);
+        let mend = ranges.and_then(|theirs| self.state.mend_for(now, &theirs));
+        let agent = self.agents.entry(link).or_insert_with(|| Agent {
+            gateway: Gateway::default(),
+            word: FromAgent::default(),
+            members: Vec::new(),
+            heard: now,
+            sent: held,
+        });
+        if let Some(gateway) = word.gateway.take() {
+            agent.gateway = gateway;
+        }
+        (agent.word, agent.heard) = (word, now);
+        if !follows {
+            agent.sent = held;
+        }
+        if agent.members != members {
+            (agent.members, pulse.members) = (members.clone(), members);
+        }
+        if leads {
+            self.presence.told(now, &agent.gateway.node, applied);
+        }
+        if follows {
+            self.push_to(now, link, out);
+        }
+        let news = ToAgent { pulse: Some(pulse), mend, ..ToAgent::default() };
+        out.push(Action::Say { link, news: Box::new(news) });
+        if leads {
+            self.enforce(now, out);
+        }
+    }
+
+    /// Tells all agents at once that it leads, and which change is the last.
+    pub(super) fn pulse(&self, now: Millis, out: &mut Vec<Action>) {
+        let leads = self.vouches(now);
+        for (link, agent) in &self.agents {
+            let pulse = Some(self.pulse_at(agent.word.at, leads));
+            let news = Box::new(ToAgent { pulse, ..ToAgent::default() });
+            out.push(Action::Say { link: *link, news });
+        }
+    }
+
+    /// The answer to a word that was sent then.
+    fn pulse_at(&self, at: Millis, leads: bool) -> Pulse {
+        let digest = if leads { self.digest.of(&self.state) } else { 0 };
+        let (term, members) = (self.agreement.term(), Vec::new());
+        Pulse { at, leads, term, index: self.state.index, members, digest }
+    }
+
+    /// Sends all agents that follow what is new.
+    pub(super) fn push(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let follow = self.agents.iter().filter(|(_, agent)| agent.word.follows);
+        let links: Vec<_> = follow.map(|(link, _)| *link).collect();
+        links.into_iter().for_each(|link| self.push_to(now, link, out));
+    }
+
+    fn push_to(&mut self, now: Millis, link: u64, out: &mut Vec<Action>) {
+        let Some(agent) = self.agents.get_mut(&link) else { return };
+        if agent.sent >= self.state.index {
+            return;
+        }
+        let entries = self.agreement.since(agent.sent).filter(|_| agent.sent > 0);
+        let news = match entries {
+            Some(entries) => {
+                let changes = entries.map(|entry| Numbered { index: entry.index, change: change_in(entry) });
+                ToAgent { changes: changes.collect(), ..ToAgent::default() }
+            }
+            None => ToAgent { whole: Some(self.state.whole(now, false)), ..ToAgent::default() },
+        };
+        agent.sent = self.state.index;
+        out.push(Action::Say { link, news: Box::new(news) });
+    }
+}
