Cut the agent's rules out of sockets and clock: whom it follows, which term, how old its word is

Need: what an agent takes from which core process, and what it feeds its proxy, was reached by the test of real processes alone.

Change: `follow.rs` takes events with the time and gives actions; it tells when it wants to be told of time, so that nothing wakes the process more often than before. The agent keeps sockets.

Ruled out: one timer for each link, as before: their moments are no part of what a test can see.

--- a/overland/src/lib.rs
+++ b/overland/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod control;
 pub mod figures;
+pub mod follow;
 pub mod link;
 pub mod member;
 pub mod news;
