Play the whole control side in virtual time against a plain model, from one seed

Change: `tests/simulated/` runs the real rules of members and agents, with proxies' copies, backends that beat, drain, leave, crash and come back, and operators that race and repeat to any member, over a drawn network: letters lost, doubled, held up by a cut and late; links in order, held up and ended; kills between any two actions, slow disks, freezes, clocks up to 1% fast or slow. `judge` knows lists alone: versions and their answers, reads, backends' closings, copies, and how long keys may be gone by.

--- /dev/null
+++ b/overland/tests/simulated/mod.rs
@@ -0,0 +1,841 @@
+//! The whole control side in virtual time, from one seed: core members with disks, agents with their proxies' copies,
+//! backends that beat, drain and end, and operators that race and repeat, over one drawn network. The real rules run
+//! (`Member`, `Follow`, `State`); what surrounds them is made here: links that are slow, cut one way or both, held up or
+//! lost; processes that are killed between any two actions, frozen, slow or without their disk; clocks at other rates.
+//! `judge` holds it all against a plain model, by what callers and data planes saw alone.
+#![allow(dead_code)] // Each test program takes what it needs of it.
+
+pub mod callers;
+pub mod judge;
+
+use callers::Callers;
+use judge::Judge;
+use overland::agreement::{Save, Saved};
+use overland::calls::Reply;
+use overland::follow::{self, Follow};
+use overland::member::{Action, Event, Member, TICK_MS};
+use overland::news::{FromAgent, FromProxy, ToAgent, ToProxy, Word};
+use overland::settings::{Bounds, Settings};
+use overland::state::State;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+/// A cut ends a connection after so long, in ms; what it holds up is tried again so often.
+const UNHEARD_MS: f64 = 2000.0;
+const HELD_MS: f64 = 50.0;
+/// The judge looks at all data planes so often, in ms.
+const WATCH_MS: f64 = 100.0;
+
+/// Where something runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    Core(usize),
+    Gateway(usize),
+    /// Backends and operators.
+    Outside,
+}
+
+/// What comes in at a core process.
+#[derive(Clone)]
+pub enum Input {
+    Tick,
+    Heard(String, Word),
+    /// A call: its token, method, path and body.
+    Call(u64, &'static str, String, Vec<u8>),
+    Agent(u64, FromAgent),
+    Closed(u64),
+    End,
+}
+
+/// What happens at a moment.
+enum What {
+    /// At a core process, in the life that it was meant for.
+    Core(usize, u64, Input),
+    /// A letter between core processes arrives: from which, to which, in which life, in whose name, and since when it is held
+    /// up.
+    Letter(usize, usize, u64, String, Box<Word>, Option<f64>),
+    /// A core process goes on with what it has to do.
+    Resume(usize, u64),
+    /// What a core process said on a link arrives at the agent, and the other way.
+    Said(u64, Box<ToAgent>),
+    Word(u64, Box<FromAgent>),
+    /// The judge looks at all data planes.
+    Watch,
+    /// A link is to be opened by a gateway, in this life, to this core.
+    Connect(usize, u64, String),
+    Opened(u64),
+    Ended(u64),
+    AgentDue(usize, u64),
+    /// A proxy says something of itself.
+    Proxy(usize, u64),
+    /// A caller's turn, or its answer; no answer where the connection broke or it was silent.
+    Turn(callers::Who),
+    Answered(u64, Option<Reply>),
+    /// A core process or a gateway starts.
+    Start(Place),
+}
+
+struct Due {
+    at: f64,
+    order: u64,
+    what: What,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.at.total_cmp(&other.at).then(self.order.cmp(&other.order))
+    }
+}
+
+/// A core process, and its disk.
+pub struct Core {
+    pub running: Option<Member>,
+    pub disk: Option<Saved>,
+    /// Counts its starts: what was meant for an earlier life reaches nobody.
+    pub life: u64,
+    started: f64,
+    /// Its clock goes so much faster than true time.
+    pub rate: f64,
+    /// A sync takes so long, in ms.
+    pub sync_ms: f64,
+    /// What it has decided and not carried out yet, and what waits to come in.
+    doing: VecDeque<Action>,
+    inbox: VecDeque<Input>,
+    /// A save was carried out: it is told that first.
+    saved: Option<f64>,
+    /// It does nothing before then: frozen, or waiting for its disk.
+    idle_until: f64,
+    /// Machines that were never members at the first start.
+    pub founder: bool,
+}
+
+/// A gateway: its agent, and its proxy's copy.
+pub struct Gateway {
+    pub agent: Option<Follow>,
+    pub life: u64,
+    started: f64,
+    pub rate: f64,
+    /// The proxy's copy of the state.
+    pub copy: Option<State>,
+    /// The moment, by the gateway's own clock, of the last word of who leads.
+    pub fresh: Option<f64>,
+    agent_due: f64,
+    frozen_until: f64,
+}
+
+/// A link from an agent to a core process.
+struct Link {
+    gateway: usize,
+    gateway_life: u64,
+    core: usize,
+    core_life: u64,
+    /// Since when a cut holds up what is on it.
+    held: Option<f64>,
+    /// What was sent last in each direction arrives then: order is kept.
+    to_core: f64,
+    to_agent: f64,
+}
+
+/// How the network and the machines misbehave.
+#[derive(Clone, Copy, Debug)]
+pub struct Luck {
+    /// Part of the letters between core processes that is lost, and doubled.
+    pub loss: f64,
+    pub twice: f64,
+    /// Chance that a process is killed at an action.
+    pub kill: f64,
+    /// Part of the answers to callers that is lost.
+    pub ack_loss: f64,
+}
+
+/// The system and all around it.
+pub struct World {
+    pub rng: fastrand::Rng,
+    pub now: f64,
+    due: BinaryHeap<Reverse<Due>>,
+    order: u64,
+    pub cores: Vec<Core>,
+    pub gateways: Vec<Gateway>,
+    links: BTreeMap<u64, Link>,
+    /// Pairs of which the first can't reach the second.
+    pub cuts: BTreeSet<(Place, Place)>,
+    pub luck: Luck,
+    /// Calls on their way: to which core, in which of its lives.
+    calls: BTreeMap<u64, (usize, u64, f64)>,
+    pub callers: Callers,
+    pub judge: Judge,
+    pub seeds: Vec<SocketAddr>,
+    next: u64,
+    /// Things that have happened.
+    pub events: u64,
+}
+
+/// The figures of the rules in these histories.
+pub fn bounds() -> Bounds {
+    Bounds {
+        ack: Duration::from_millis(8000),
+        grace: Duration::from_millis(6000),
+        closed: true,
+        revoke: Duration::from_millis(5000),
+        retry_ratio: 0.2,
+        retry_slack: 56.0,
+        retry_window: Duration::from_secs(10),
+        quota_slack: 20.0,
+        ttl_max: Duration::from_secs(5),
+    }
+}
+
+/// A core process's control address.
+pub fn core_address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number as u8 + 1], 8080))
+}
+
+/// The number of the core process with this name.
+pub fn core_number(name: &str) -> Option<usize> {
+    let address: SocketAddr = name.parse().ok()?;
+    match address.ip() {
+        IpAddr::V4(ip) => Some(usize::from(ip.octets()[3]) - 1),
+        IpAddr::V6(_) => None,
+    }
+}
+
+fn settings(
+    node: String, control: Option<SocketAddr>, seeds: Vec<SocketAddr>, first_start: bool,
+) -> Settings {
+    Settings {
+        node,
+        ip: IpAddr::from([10, 0, 0, 1]),
+        zone: "z1".into(),
+        region: "r".into(),
+        first_start,
+        data_dir: None,
+        memory_mb: 256,
+        fds: 4096,
+        front: None,
+        ready: None,
+        control,
+        directory: None,
+        inner_ports: (7000, 7010),
+        seeds,
+        zones: BTreeMap::from([("z1".into(), "r".into()), ("z2".into(), "r".into())]),
+        beat: Duration::from_millis(1500),
+        bounds: bounds(),
+    }
+}
+
+/// What a disk holds after a save.
+pub fn keep(disk: &mut Option<Saved>, save: Save) {
+    let disk = disk.get_or_insert_with(Saved::default);
+    disk.vow = save.vow;
+    if let Some(base) = save.base {
+        let behind = disk.entries.iter().position(|entry| entry.index > base.index);
+        disk.entries.drain(..behind.unwrap_or(disk.entries.len()));
+        disk.base = base;
+    }
+    if let Some((first, entries)) = save.entries {
+        disk.entries.retain(|entry| entry.index < first);
+        disk.entries.extend(entries);
+    }
+}
+
+impl World {
+    /// So many founders, core machines that come later, gateways, backends and operators. Nothing runs yet.
+    pub fn new(
+        seed: u64, founders: usize, others: usize, gateways: usize, backends: usize, operators: usize,
+    ) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let rate = |rng: &mut fastrand::Rng| 1.0 + (rng.f64() - 0.5) * 0.02;
+        let core = |rng: &mut fastrand::Rng, founder| Core {
+            running: None,
+            disk: None,
+            life: 0,
+            started: 0.0,
+            rate: rate(rng),
+            sync_ms: 0.5,
+            doing: VecDeque::new(),
+            inbox: VecDeque::new(),
+            saved: None,
+            idle_until: 0.0,
+            founder,
+        };
+        let cores = (0..founders + others).map(|n| core(&mut rng, n < founders)).collect();
+        let gateway = |rng: &mut fastrand::Rng| Gateway {
+            agent: None,
+            life: 0,
+            started: 0.0,
+            rate: rate(rng),
+            copy: None,
+            fresh: None,
+            agent_due: f64::INFINITY,
+            frozen_until: 0.0,
+        };
+        let gateways = (0..gateways).map(|_| gateway(&mut rng)).collect();
+        World {
+            callers: Callers::new(&mut rng, backends, operators),
+            rng,
+            now: 0.0,
+            due: BinaryHeap::new(),
+            order: 0,
+            cores,
+            gateways,
+            links: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            luck: Luck { loss: 0.0, twice: 0.0, kill: 0.0, ack_loss: 0.0 },
+            calls: BTreeMap::new(),
+            judge: Judge::default(),
+            seeds: (0..founders.min(3)).map(core_address).collect(),
+            next: 0,
+            events: 0,
+        }
+    }
+
+    /// Starts the founders, all gateways and all callers.
+    pub fn begin(&mut self) {
+        for core in 0..self.cores.len() {
+            if self.cores[core].founder {
+                self.start_core(core, true);
+            }
+        }
+        (0..self.gateways.len()).for_each(|gateway| self.start_gateway(gateway));
+        self.at(WATCH_MS, What::Watch);
+        for who in self.callers.all() {
+            let at = self.rng.f64() * 500.0;
+            self.at(at, What::Turn(who));
+        }
+    }
+
+    /// Trouble ends: all is joined and runs, nobody wants anything new, and that for a while.
+    pub fn settle(&mut self, for_ms: f64) {
+        self.cuts.clear();
+        self.luck = Luck { loss: 0.0, twice: 0.0, kill: 0.0, ack_loss: 0.0 };
+        (self.callers.churn, self.callers.wishes) = (false, false);
+        (0..self.cores.len()).for_each(|core| self.start_core(core, false));
+        (0..self.gateways.len()).for_each(|gateway| self.start_gateway(gateway));
+        self.pass(self.now + for_ms);
+        judge::finish(self);
+    }
+
+    fn at(&mut self, after: f64, what: What) {
+        self.order += 1;
+        self.due.push(Reverse(Due { at: self.now + after, order: self.order, what }));
+    }
+
+    pub fn turn(&mut self, after: f64, who: callers::Who) {
+        self.at(after, What::Turn(who));
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Plays on until then.
+    pub fn pass(&mut self, until: f64) {
+        while self.due.peek().is_some_and(|due| due.0.at <= until) {
+            let Some(Reverse(due)) = self.due.pop() else { break };
+            self.now = self.now.max(due.at);
+            self.events += 1;
+            self.happen(due.what);
+        }
+        self.now = until;
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::Core(core, life, input) => {
+                if self.cores[core].life == life && self.cores[core].running.is_some() {
+                    self.cores[core].inbox.push_back(input);
+                    self.go_on(core);
+                }
+            }
+            What::Resume(core, life) => {
+                if self.cores[core].life == life {
+                    self.go_on(core);
+                }
+            }
+            What::Letter(from, to, life, name, word, held) => self.arrives(from, to, life, name, word, held),
+            What::Watch => {
+                judge::keys(self);
+                self.at(WATCH_MS, What::Watch);
+            }
+            What::Connect(gateway, life, core) => self.connect(gateway, life, core),
+            What::Opened(link) => self.opened(link),
+            What::Said(link, news) => self.said(link, news),
+            What::Word(link, word) => self.word(link, word),
+            What::Ended(link) => self.ended(link),
+            What::AgentDue(gateway, life) => self.agent(gateway, life, follow::Event::Tick),
+            What::Proxy(gateway, life) => self.proxy_speaks(gateway, life),
+            What::Turn(who) => callers::turn(self, who),
+            What::Answered(token, reply) => {
+                if self.calls.remove(&token).is_some() {
+                    callers::answered(self, token, reply);
+                }
+            }
+            What::Start(Place::Core(core)) => self.start_core(core, false),
+            What::Start(Place::Gateway(gateway)) => self.start_gateway(gateway),
+            What::Start(Place::Outside) => {}
+        }
+    }
+
+    // ---- The network ------------------------------------------------------------------------------------------
+
+    pub fn reaches(&self, from: Place, to: Place) -> bool {
+        !self.cuts.contains(&(from, to))
+    }
+
+    /// Cuts a place off from others, both ways.
+    pub fn cut_off(&mut self, place: Place, from: impl IntoIterator<Item = Place>) {
+        for other in from {
+            if other != place {
+                self.cuts.insert((place, other));
+                self.cuts.insert((other, place));
+            }
+        }
+    }
+
+    fn delay(&mut self) -> f64 {
+        1.0 + self.rng.f64().powi(8) * 150.0
+    }
+
+    // ---- Core processes ---------------------------------------------------------------------------------------
+
+    /// A core process starts, from what its disk holds.
+    pub fn start_core(&mut self, number: usize, first: bool) {
+        if self.cores[number].running.is_some() {
+            return;
+        }
+        let settings =
+            settings(format!("core-{number}"), Some(core_address(number)), self.seeds.clone(), first);
+        let seed = self.rng.u64(..);
+        let core = &mut self.cores[number];
+        let started = Member::start(settings, core.disk.clone(), seed, 0.0);
+        let (member, save) = started.expect("what was saved can be read");
+        if let Some(save) = save {
+            keep(&mut core.disk, save);
+        }
+        core.life += 1;
+        core.started = self.now;
+        core.running = Some(member);
+        core.doing.clear();
+        core.inbox.clear();
+        core.saved = None;
+        core.idle_until = self.now;
+        let life = core.life;
+        self.at(TICK_MS, What::Core(number, life, Input::Tick));
+    }
+
+    /// A core process is killed; its disk stays.
+    pub fn kill_core(&mut self, number: usize) {
+        let core = &mut self.cores[number];
+        if core.running.take().is_none() {
+            return;
+        }
+        core.life += 1;
+        core.doing.clear();
+        core.inbox.clear();
+        // Those who held connections to it see them reset.
+        let calls: Vec<_> =
+            self.calls.iter().filter(|(_, of)| of.0 == number).map(|(token, _)| *token).collect();
+        for token in calls {
+            let delay = self.delay();
+            self.at(delay, What::Answered(token, None));
+        }
+        let links: Vec<_> =
+            self.links.iter().filter(|(_, link)| link.core == number).map(|(id, _)| *id).collect();
+        for link in links {
+            let delay = self.delay();
+            self.at(delay, What::Ended(link));
+        }
+    }
+
+    pub fn start_later(&mut self, place: Place, after: f64) {
+        self.at(after, What::Start(place));
+    }
+
+    /// A core process stands still for so long. What comes in waits.
+    pub fn freeze_core(&mut self, number: usize, for_ms: f64) {
+        let core = &mut self.cores[number];
+        core.idle_until = core.idle_until.max(self.now + for_ms);
+        let life = core.life;
+        self.at(for_ms, What::Resume(number, life));
+    }
+
+    /// The number of who leads and is answered by a majority, if anybody does.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.cores.len()).find(|n| {
+            let core = &self.cores[*n];
+            let now = (self.now - core.started) * core.rate;
+            core.running.as_ref().is_some_and(|member| member.agreement().vouches(now))
+        })
+    }
+
+    pub fn input(&mut self, core: usize, input: Input) {
+        let life = self.cores[core].life;
+        self.at(0.0, What::Core(core, life, input));
+    }
+
+    /// A core process does what it has to do, until it waits for its disk or stands still.
+    fn go_on(&mut self, number: usize) {
+        loop {
+            let core = &mut self.cores[number];
+            if core.running.is_none() || core.idle_until > self.now {
+                return;
+            }
+            if let Some(action) = core.doing.pop_front() {
+                if self.luck.kill > 0.0 && self.rng.f64() < self.luck.kill {
+                    // A save that was under way may be there or not.
+                    if let (Action::Save(save), true) = (action, self.rng.bool()) {
+                        keep(&mut self.cores[number].disk, *save);
+                    }
+                    self.kill_core(number);
+                    return self.start_later(Place::Core(number), 100.0);
+                }
+                self.act(number, action);
+                continue;
+            }
+            let core = &mut self.cores[number];
+            let event = if let Some(took_ms) = core.saved.take() {
+                Event::Saved { took_ms }
+            } else {
+                let Some(input) = core.inbox.pop_front() else { return };
+                match input {
+                    Input::Tick => {
+                        let life = core.life;
+                        self.at(TICK_MS, What::Core(number, life, Input::Tick));
+                        Event::Tick
+                    }
+                    Input::Heard(from, word) => Event::Heard { from, word },
+                    Input::Call(call, method, path, body) => {
+                        Event::Called { call, method: method.to_owned(), path, body }
+                    }
+                    Input::Agent(link, word) => Event::Agent { link, word },
+                    Input::Closed(link) => Event::Closed(link),
+                    Input::End => Event::End,
+                }
+            };
+            let core = &mut self.cores[number];
+            let now = (self.now - core.started) * core.rate;
+            let Some(member) = &mut core.running else { return };
+            let mut out = Vec::new();
+            member.handle(now, event, &mut out);
+            core.doing.extend(out);
+        }
+    }
+
+    fn act(&mut self, number: usize, action: Action) {
+        match action {
+            Action::Save(save) => {
+                let core = &mut self.cores[number];
+                keep(&mut core.disk, *save);
+                let took_ms = core.sync_ms;
+                core.saved = Some(took_ms);
+                if took_ms > 1.0 {
+                    self.freeze_core(number, took_ms);
+                }
+            }
+            Action::Tell { to, word } => self.tell(number, core_address(number).to_string(), &to, word),
+            Action::Pass { to, from } => self.tell(number, from, &to, Word::Join(true)),
+            Action::Answer { call, reply } => {
+                let life = self.cores[number].life;
+                let mine = self.calls.get(&call).is_some_and(|of| (of.0, of.1) == (number, life));
+                if !mine
+                    || !self.reaches(Place::Core(number), Place::Outside)
+                    || self.rng.f64() < self.luck.ack_loss
+                {
+                    return;
+                }
+                let delay = self.delay();
+                self.at(delay, What::Answered(call, Some(reply)));
+            }
+            Action::Say { link, news } => {
+                let delay = self.delay();
+                let Some(of) = self.links.get_mut(&link) else { return };
+                let arrives = of.to_agent.max(self.now + delay);
+                of.to_agent = arrives;
+                self.at(arrives - self.now, What::Said(link, news));
+            }
+            Action::Count { .. } => {}
+            Action::Stop(why) => panic!("core {number} stops: {why}"),
+        }
+    }
+
+    fn tell(&mut self, number: usize, from: String, to: &str, word: Word) {
+        let Some(to) = core_number(to).filter(|to| *to < self.cores.len()) else { return };
+        let times = if self.rng.f64() < self.luck.twice { 2 } else { 1 };
+        for _ in 0..times {
+            let delay = self.delay();
+            if self.rng.f64() < self.luck.loss {
+                continue;
+            }
+            let life = self.cores[to].life;
+            self.at(delay, What::Letter(number, to, life, from.clone(), Box::new(word.clone()), None));
+        }
+    }
+
+    /// A letter arrives, unless a cut holds it up: some are lost then, and some come late.
+    fn arrives(
+        &mut self, from: usize, to: usize, life: u64, name: String, word: Box<Word>, held: Option<f64>,
+    ) {
+        if self.reaches(Place::Core(from), Place::Core(to)) {
+            return self.happen(What::Core(to, life, Input::Heard(name, *word)));
+        }
+        let since = held.unwrap_or(self.now);
+        if self.now - since < UNHEARD_MS && (held.is_some() || self.rng.bool()) {
+            self.at(HELD_MS, What::Letter(from, to, life, name, word, Some(since)));
+        }
+    }
+
+    // ---- Calls from outside -----------------------------------------------------------------------------------
+
+    /// Calls a core process. The answer, or that there is none, comes to whoever holds the token.
+    pub fn call(&mut self, core: usize, method: &'static str, path: String, body: Vec<u8>) -> u64 {
+        let token = self.number();
+        let life = self.cores[core].life;
+        self.calls.insert(token, (core, life, self.now));
+        // A second of silence ends it.
+        self.at(1000.0, What::Answered(token, None));
+        if self.reaches(Place::Outside, Place::Core(core)) {
+            let delay = self.delay();
+            if self.cores[core].running.is_some() {
+                self.at(delay, What::Core(core, life, Input::Call(token, method, path, body)));
+            } else {
+                self.at(delay, What::Answered(token, None));
+            }
+        }
+        token
+    }
+
+    // ---- Gateways ---------------------------------------------------------------------------------------------
+
+    /// A gateway starts: its agent, and its proxy with no copy yet.
+    pub fn start_gateway(&mut self, number: usize) {
+        if self.gateways[number].agent.is_some() {
+            return;
+        }
+        let settings = settings(format!("gateway-{number}"), None, self.seeds.clone(), false);
+        let mut out = Vec::new();
+        let gateway = &mut self.gateways[number];
+        gateway.life += 1;
+        gateway.started = self.now;
+        (gateway.copy, gateway.fresh, gateway.agent_due) = (None, None, f64::INFINITY);
+        gateway.agent = Some(Follow::new(&settings, 0.0, &mut out));
+        let life = gateway.life;
+        self.carry_out(number, out);
+        self.agent(number, life, follow::Event::ProxyOpen(1));
+        self.at(50.0, What::Proxy(number, life));
+    }
+
+    /// A gateway is killed, agent and proxy.
+    pub fn kill_gateway(&mut self, number: usize) {
+        let gateway = &mut self.gateways[number];
+        gateway.agent = None;
+        gateway.copy = None;
+        gateway.life += 1;
+        let links: Vec<_> =
+            self.links.iter().filter(|(_, link)| link.gateway == number).map(|(id, _)| *id).collect();
+        for link in links {
+            self.end(link);
+        }
+    }
+
+    fn local(&self, number: usize) -> f64 {
+        let gateway = &self.gateways[number];
+        (self.now - gateway.started) * gateway.rate
+    }
+
+    fn agent(&mut self, number: usize, life: u64, event: follow::Event) {
+        if self.gateways[number].life != life {
+            return;
+        }
+        let now = self.local(number);
+        let Some(agent) = &mut self.gateways[number].agent else { return };
+        let mut out = Vec::new();
+        agent.handle(now, event, &mut out);
+        self.carry_out(number, out);
+    }
+
+    fn carry_out(&mut self, number: usize, actions: Vec<follow::Action>) {
+        let life = self.gateways[number].life;
+        for action in actions {
+            match action {
+                follow::Action::Keep(core) => self.at(0.0, What::Connect(number, life, core)),
+                follow::Action::End(core) => {
+                    if let Some(link) = self.link_of(number, &core) {
+                        self.end(link);
+                        self.agent(number, life, follow::Event::Closed(core.clone()));
+                        self.at(150.0, What::Connect(number, life, core));
+                    }
+                }
+                follow::Action::Say { core, word } => {
+                    let Some(link) = self.link_of(number, &core) else { continue };
+                    let delay = self.delay();
+                    let Some(of) = self.links.get_mut(&link) else { continue };
+                    let arrives = of.to_core.max(self.now + delay);
+                    of.to_core = arrives;
+                    self.at(arrives - self.now, What::Word(link, word));
+                }
+                follow::Action::Feed(news) => self.fed(number, *news),
+            }
+        }
+        let (due, local) = match &self.gateways[number].agent {
+            Some(agent) => (agent.due(), self.local(number)),
+            None => return,
+        };
+        let gateway = &mut self.gateways[number];
+        if due.is_finite() && due != gateway.agent_due {
+            gateway.agent_due = due;
+            let after = ((due - local) / gateway.rate).max(0.0) + 0.01;
+            self.at(after, What::AgentDue(number, life));
+        }
+    }
+
+    fn link_of(&self, gateway: usize, core: &str) -> Option<u64> {
+        let core = core_number(core)?;
+        let mine = self.links.iter().find(|(_, link)| link.gateway == gateway && link.core == core);
+        mine.map(|(id, _)| *id)
+    }
+
+    fn connect(&mut self, gateway: usize, life: u64, core: String) {
+        let now = self.local(gateway);
+        let of = &mut self.gateways[gateway];
+        if of.life != life || !of.agent.as_mut().is_some_and(|agent| agent.wants(now, &core)) {
+            return;
+        }
+        let Some(number) = core_number(&core) else { return };
+        let (there, back) = (Place::Gateway(gateway), Place::Core(number));
+        let up = number < self.cores.len() && self.cores[number].running.is_some();
+        if !up
+            || !self.reaches(there, back)
+            || !self.reaches(back, there)
+            || self.link_of(gateway, &core).is_some()
+        {
+            return self.at(150.0 + 350.0 * f64::from(u8::from(up)), What::Connect(gateway, life, core));
+        }
+        let link = self.number();
+        let core_life = self.cores[number].life;
+        let (to_core, to_agent) = (self.now, self.now);
+        self.links.insert(
+            link,
+            Link { gateway, gateway_life: life, core: number, core_life, held: None, to_core, to_agent },
+        );
+        let delay = self.delay();
+        self.at(delay, What::Opened(link));
+    }
+
+    fn opened(&mut self, link: u64) {
+        let Some(of) = self.links.get(&link) else { return };
+        let (gateway, life, core) = (of.gateway, of.gateway_life, core_address(of.core).to_string());
+        self.agent(gateway, life, follow::Event::Open(core));
+    }
+
+    /// A cut holds up what is on a link, in order, and ends it after a while. Gives when it is tried again.
+    fn held_up(&mut self, link: u64, from: Place, to: Place) -> Option<f64> {
+        if self.reaches(from, to) {
+            self.links.get_mut(&link)?.held = None;
+            return None;
+        }
+        let now = self.now;
+        let since = *self.links.get_mut(&link)?.held.get_or_insert(now);
+        if now - since > UNHEARD_MS {
+            let of = self.links.get(&link)?;
+            self.at(0.0, What::Core(of.core, of.core_life, Input::Closed(link)));
+            self.ended(link);
+        }
+        Some(HELD_MS)
+    }
+
+    fn said(&mut self, link: u64, news: Box<ToAgent>) {
+        let Some(of) = self.links.get(&link) else { return };
+        let (gateway, life, core) = (of.gateway, of.gateway_life, of.core);
+        if let Some(again) = self.held_up(link, Place::Core(core), Place::Gateway(gateway)) {
+            if let Some(of) = self.links.get_mut(&link) {
+                of.to_agent = of.to_agent.max(self.now + again);
+                self.at(again, What::Said(link, news));
+            }
+            return;
+        }
+        let core = core_address(core).to_string();
+        self.agent(gateway, life, follow::Event::Said { core, news });
+    }
+
+    fn word(&mut self, link: u64, word: Box<FromAgent>) {
+        let Some(of) = self.links.get(&link) else { return };
+        let (gateway, core, life) = (of.gateway, of.core, of.core_life);
+        if let Some(again) = self.held_up(link, Place::Gateway(gateway), Place::Core(core)) {
+            if let Some(of) = self.links.get_mut(&link) {
+                of.to_core = of.to_core.max(self.now + again);
+                self.at(again, What::Word(link, word));
+            }
+            return;
+        }
+        self.happen(What::Core(core, life, Input::Agent(link, *word)));
+    }
+
+    /// The core's end is gone: the agent sees it.
+    fn ended(&mut self, link: u64) {
+        let Some(of) = self.links.remove(&link) else { return };
+        let (gateway, life, core) = (of.gateway, of.gateway_life, core_address(of.core).to_string());
+        self.agent(gateway, life, follow::Event::Closed(core.clone()));
+        self.at(150.0, What::Connect(gateway, life, core));
+    }
+
+    /// The gateway's end is gone: the core sees it.
+    fn end(&mut self, link: u64) {
+        let Some(of) = self.links.remove(&link) else { return };
+        let delay = self.delay();
+        self.at(delay, What::Core(of.core, of.core_life, Input::Closed(link)));
+    }
+
+    // ---- Proxies ----------------------------------------------------------------------------------------------
+
+    /// What a proxy takes from its agent, as `proxy.rs` does.
+    fn fed(&mut self, number: usize, news: ToProxy) {
+        let now = self.local(number);
+        let gateway = &mut self.gateways[number];
+        let held = gateway.copy.as_ref().map_or(0, |copy| copy.index);
+        if let Some(whole) = news.whole.filter(|whole| whole.index > held) {
+            gateway.copy = Some(State::from_whole(now, whole));
+        }
+        if let Some(copy) = &mut gateway.copy {
+            copy.follow(now, &news.changes);
+            if let Some(mend) = news.mend {
+                copy.mend(now, mend);
+            }
+        }
+        if news.age_ms >= 0.0 {
+            let at = now - news.age_ms;
+            gateway.fresh = Some(gateway.fresh.map_or(at, |fresh| fresh.max(at)));
+        }
+        self.judge.copied(number, self.gateways[number].life, self.gateways[number].copy.as_ref());
+    }
+
+    /// Whether a proxy goes by the keys that it has.
+    pub fn goes_by_keys(&self, number: usize) -> bool {
+        let lease = bounds().lease().as_secs_f64() * 1000.0;
+        let gateway = &self.gateways[number];
+        gateway.agent.is_some() && gateway.fresh.is_some_and(|at| self.local(number) - at < lease)
+    }
+
+    fn proxy_speaks(&mut self, number: usize, life: u64) {
+        let held = self.gateways[number].copy.as_ref().map_or(0, |copy| copy.index);
+        let word =
+            FromProxy { front: format!("10.1.0.{}:80", number + 1), ready: held > 0, held, ranges: None };
+        self.agent(number, life, follow::Event::Proxy { link: 1, word });
+        if self.gateways[number].life == life {
+            self.at(20.0, What::Proxy(number, life));
+        }
+    }
+}
