Cut the proxy's rules out of sockets and clock: what it takes of its agent, how old its word is, when it stops

Need: the simulated gateways imitated what proxy.rs does; a fault in the real rules could not show there. Ruled out: moving the charges as well, which are the counter's concern. Change: copy.rs holds the copy, its digest, the word's age and the lease; proxy.rs and the simulated gateways use it. No rule is another.

--- /dev/null
+++ b/overland/src/copy.rs
@@ -0,0 +1,92 @@
+//! What a proxy goes by, without sockets or clock: its copy of the agreed state, what it takes of its agent, how old the
+//! leader's last word is, and when it stops going by keys by itself.
+
+use crate::news::{FromProxy, ToProxy};
+use crate::settings::Bounds;
+use crate::state::{Digest, State, Touched};
+use cherrytally::Millis;
+
+/// A proxy's copy of the agreed state.
+pub struct Copy {
+    state: Option<State>,
+    digest: Digest,
+    /// It differs from the agent's: its ranges are to be told.
+    differs: bool,
+    /// The moment of the last word of who leads.
+    fresh: Option<Millis>,
+    /// For so long after that word it goes by the keys that it has, in ms; none where it always does.
+    lease: Option<Millis>,
+}
+
+/// What came of news.
+#[derive(Debug, Default, PartialEq)]
+pub struct Taken {
+    /// What of the copy is another now.
+    pub touched: Vec<Touched>,
+    /// Ranges of it were mended.
+    pub mended: bool,
+}
+
+impl Copy {
+    /// No copy yet.
+    pub fn new(bounds: &Bounds) -> Self {
+        let lease = bounds.closed.then(|| bounds.lease().as_secs_f64() * 1000.0);
+        Copy { state: None, digest: Digest::default(), differs: false, fresh: None, lease }
+    }
+
+    /// The copy, once there is one.
+    pub fn state(&self) -> Option<&State> {
+        self.state.as_ref()
+    }
+
+    /// The number of the last change in it, nought without one.
+    pub fn held(&self) -> u64 {
+        self.state.as_ref().map_or(0, |state| state.index)
+    }
+
+    /// How long ago the leader's last word was, in ms.
+    pub fn word_age(&self, now: Millis) -> Option<Millis> {
+        self.fresh.map(|at| now - at)
+    }
+
+    /// Whether it may still go by the keys that it has.
+    pub fn in_touch(&self, now: Millis) -> bool {
+        self.lease.is_none_or(|lease| self.word_age(now).is_some_and(|age| age < lease))
+    }
+
+    /// What the agent is told.
+    pub fn word(&mut self, front: String, ready: bool) -> FromProxy {
+        let ranges = self.state.as_ref().filter(|_| std::mem::take(&mut self.differs)).map(State::ranges);
+        FromProxy { front, ready, held: self.held(), ranges }
+    }
+
+    /// Takes what the agent tells of the state, and how old that is.
+    pub fn take(&mut self, now: Millis, news: ToProxy) -> Taken {
+        let ToProxy { whole, changes, age_ms, index, digest, mend, .. } = news;
+        let mut taken = Taken::default();
+        let held = self.held();
+        if let Some(whole) = whole.filter(|whole| whole.index > held) {
+            self.state = Some(State::from_whole(now, whole));
+            taken.touched = vec![Touched::Config, Touched::Backends, Touched::Gateways];
+        }
+        if let Some(state) = &mut self.state {
+            taken.touched.extend(state.follow(now, &changes));
+            let names = mend.as_ref().map(|mend| mend.names.join(", ")).unwrap_or_default();
+            if mend.is_some_and(|mend| state.mend(now, mend)) {
+                log::warn!("proxy: mended: {names}");
+                taken.mended = true;
+                self.digest.forget();
+                taken.touched.extend([Touched::Config, Touched::Backends, Touched::Gateways]);
+            }
+            if digest != 0 && state.index == index && self.digest.of(state) != digest {
+                log::warn!("proxy: the copy of change {index} differs from the agent's");
+                self.differs = true;
+            }
+        }
+        if age_ms >= 0.0 {
+            let at = now - age_ms;
+            self.fresh = Some(self.fresh.map_or(at, |fresh| fresh.max(at)));
+        }
+        taken
+    }
+}
--- a/overland/src/lib.rs
+++ b/overland/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod calls;
 pub mod config;
 pub mod control;
+pub mod copy;
 pub mod figures;
 pub mod follow;
 pub mod link;
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -2,13 +2,14 @@
 
 use crate::agent::feed;
 use crate::ahead::{Ahead, Begun, Front};
+use crate::copy::{Copy, Taken};
 use crate::figures::{Figures, Present};
 use crate::link::{self, Incoming, Outgoing};
-use crate::news::{Charge, Charges, FromProxy, Hello, Purpose, ToProxy, Totals};
+use crate::news::{Charge, Charges, Hello, Purpose, ToProxy, Totals};
 use crate::routes::{Numbers, Route, Stamped, Table, Tenant, Zones};
 use crate::settings::{Settings, Watch};
 use crate::speech::Wire;
-use crate::state::{Digest, State, Touched};
+use crate::state::Touched;
 use crate::tally::{self, Counted, Tally, Verdict};
 use bytes::BytesMut;
 use cherrytally::plane::backends::Backends;
@@ -106,10 +107,7 @@
     places: Arc<Semaphore>,
     phase: watch::Sender<Phase>,
     busy: Cell<usize>,
-    state: RefCell<Option<State>>,
-    digest: Digest,
-    /// The copy differs from the agent's: its ranges are to be told.
-    differs: Cell<bool>,
+    copy: RefCell<Copy>,
     table: RefCell<Option<Rc<Table>>>,
     routes: RefCell<Numbers>,
     pools: RefCell<Numbers>,
@@ -118,8 +116,6 @@
     tally: RefCell<Tally>,
     charges: UnboundedSender<Charging>,
     counter: watch::Sender<Option<SocketAddr>>,
-    /// The moment of the last word of who leads.
-    fresh: Cell<Option<Instant>>,
     told: Notify,
     /// It was up to date once.
     has_been: Cell<bool>,
@@ -192,9 +188,7 @@
             places: Arc::new(Semaphore::new(places)),
             phase: watch::Sender::new(Phase::Serves),
             busy: Cell::new(0),
-            state: RefCell::default(),
-            digest: Digest::default(),
-            differs: Cell::new(false),
+            copy: RefCell::new(Copy::new(&settings.bounds)),
             table: RefCell::default(),
             routes: RefCell::default(),
             pools: RefCell::default(),
@@ -202,7 +196,6 @@
             tally: RefCell::new(Tally::new(settings.bounds.quota_slack)),
             charges,
             counter: watch::Sender::new(None),
-            fresh: Cell::new(None),
             told: Notify::new(),
             has_been: Cell::new(false),
             news: Notify::new(),
@@ -269,9 +262,8 @@
         let writing = tokio::task::spawn_local(link::write(write, from));
         let mut incoming = Incoming::<ToProxy>::new(read);
         let ended = loop {
-            let held = self.state.borrow().as_ref().map_or(0, |state| state.index);
-            let ranges = self.state.borrow().as_ref().filter(|_| self.differs.take()).map(State::ranges);
-            out.send(&FromProxy { front: self.front.to_string(), ready: self.ready(), held, ranges });
+            let ready = self.ready();
+            out.send(&self.copy.borrow_mut().word(self.front.to_string(), ready));
             let next = tokio::select! {
                 next = incoming.next() => next,
                 () = self.told.notified() => continue,
@@ -286,27 +278,10 @@
     }
 
     fn take(self: &Rc<Self>, news: ToProxy) {
-        let ToProxy { whole, changes, counter, age_ms, index, digest, mend, .. } = news;
-        let now = self.now();
-        let held = self.state.borrow().as_ref().map_or(0, |state| state.index);
-        let mut touched = Vec::new();
-        if let Some(whole) = whole.filter(|whole| whole.index > held) {
-            *self.state.borrow_mut() = Some(State::from_whole(now, whole));
-            touched = vec![Touched::Config, Touched::Backends, Touched::Gateways];
-        }
-        if let Some(state) = self.state.borrow_mut().as_mut() {
-            touched.extend(state.follow(now, &changes));
-            let names = mend.as_ref().map(|mend| mend.names.join(", ")).unwrap_or_default();
-            if mend.is_some_and(|mend| state.mend(now, mend)) {
-                log::warn!("proxy: mended: {names}");
-                self.figures.copy_mended();
-                self.digest.forget();
-                touched.extend([Touched::Config, Touched::Backends, Touched::Gateways]);
-            }
-            if digest != 0 && state.index == index && self.digest.of(state) != digest {
-                log::warn!("proxy: the copy of change {index} differs from the agent's");
-                self.differs.set(true);
-            }
+        let (now, age_ms, counter) = (self.now(), news.age_ms, news.counter.parse().ok());
+        let Taken { touched, mended } = self.copy.borrow_mut().take(now, news);
+        if mended {
+            self.figures.copy_mended();
         }
         if touched.contains(&Touched::Config) {
             self.configure();
@@ -317,11 +292,8 @@
         if touched.contains(&Touched::Backends) || touched.contains(&Touched::Config) {
             self.list();
         }
-        let counter = counter.parse().ok();
         self.counter.send_if_modified(|at| std::mem::replace(at, counter) != counter);
         if age_ms >= 0.0 {
-            let at = Instant::now().checked_sub(Duration::from_secs_f64(age_ms.min(1e9) / 1000.0));
-            self.fresh.set(self.fresh.get().max(at));
             self.tally.borrow_mut().touched(now - age_ms);
         }
         if !self.has_been.get() && self.table.borrow().is_some() && self.in_touch() {
@@ -332,8 +304,8 @@
 
     /// Goes by another configuration from now on.
     fn configure(&self) {
-        let state = self.state.borrow();
-        let Some(config) = state.as_ref().and_then(|state| state.config.as_ref()) else { return };
+        let copy = self.copy.borrow();
+        let Some(config) = copy.state().and_then(|state| state.config.as_ref()) else { return };
         let former = self.table.borrow().as_ref().map(|table| table.classes.clone()).unwrap_or_default();
         let (mut routes, mut pools) = (self.routes.borrow_mut(), self.pools.borrow_mut());
         match Table::new(&config.text, &self.zones, &mut routes, &mut pools, &former) {
@@ -346,7 +318,7 @@
     }
 
     fn tune(&self) {
-        let Some((gateways, position)) = self.state.borrow().as_ref().map(|state| {
+        let Some((gateways, position)) = self.copy.borrow().state().map(|state| {
             let position = state.gateways.keys().position(|node| *node == self.settings.node);
             (state.gateways.len().max(1), position.unwrap_or(0))
         }) else {
@@ -359,8 +331,8 @@
     }
 
     fn list(&self) {
-        let state = self.state.borrow();
-        let Some(state) = state.as_ref() else { return };
+        let copy = self.copy.borrow();
+        let Some(state) = copy.state() else { return };
         let table = self.table.borrow();
         let mut pools = self.pools.borrow_mut();
         let bits = state.evacuated.iter().fold(0, |bits, zone| bits | 1 << self.zones.number(zone).min(63));
@@ -404,8 +376,7 @@
 
     /// Whether it may still go by the keys that it has.
     fn in_touch(&self) -> bool {
-        let bounds = &self.settings.bounds;
-        !bounds.closed || self.fresh.get().is_some_and(|at| at.elapsed() < bounds.lease())
+        self.copy.borrow().in_touch(self.now())
     }
 
     /// Whether clients are to come.
@@ -420,8 +391,12 @@
             open: self.busy.get(),
             backend_connections: self.driver.backends().open(),
             backends: self.driver.listed(),
-            change: self.state.borrow().as_ref().map_or(0, |state| state.index),
-            word_age: self.fresh.get().map(|at| at.elapsed()),
+            change: self.copy.borrow().held(),
+            word_age: self
+                .copy
+                .borrow()
+                .word_age(self.now())
+                .map(|ms| Duration::from_secs_f64(ms.max(0.0) / 1000.0)),
             ready: self.ready(),
         };
         let mut reply = Response::new(Content::whole(self.figures.open_metrics(&present)));
--- a/overland/tests/simulated/judge.rs
+++ b/overland/tests/simulated/judge.rs
@@ -140,7 +140,7 @@
     let due = world.judge.versions.iter().filter(|v| v.taken.is_some_and(|at| at + revoke < world.now));
     let Some(due) = due.map(|version| version.edition).max() else { return };
     for number in 0..world.gateways.len() {
-        let edition = world.gateways[number].copy.as_ref().and_then(|copy| copy.config.as_ref());
+        let edition = world.gateways[number].copy.state().and_then(|copy| copy.config.as_ref());
         let edition = edition.map_or(u64::MAX, |config| config.edition);
         assert!(
             edition >= due || !world.goes_by_keys(number),
@@ -161,7 +161,7 @@
         }
     }
     for (number, gateway) in world.gateways.iter().enumerate() {
-        let copy = gateway.copy.as_ref().expect("a copy");
+        let copy = gateway.copy.state().expect("a copy");
         assert_eq!(copy.ranges(), ranges, "gateway {number} differs");
         assert!(world.goes_by_keys(number), "gateway {number} is out of touch in calm");
     }
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -12,11 +12,11 @@
 use judge::Judge;
 use overland::agreement::{Save, Saved};
 use overland::calls::Reply;
+use overland::copy::Copy;
 use overland::follow::{self, Follow};
 use overland::member::{Action, Event, Member, TICK_MS};
-use overland::news::{FromAgent, FromProxy, ToAgent, ToProxy, Word};
+use overland::news::{FromAgent, ToAgent, ToProxy, Word};
 use overland::settings::{Bounds, Settings};
-use overland::state::State;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -128,10 +128,8 @@
     pub life: u64,
     started: f64,
     pub rate: f64,
-    /// The proxy's copy of the state.
-    pub copy: Option<State>,
-    /// The moment, by the gateway's own clock, of the last word of who leads.
-    pub fresh: Option<f64>,
+    /// What the proxy goes by.
+    pub copy: Copy,
     agent_due: f64,
     frozen_until: f64,
 }
@@ -277,8 +275,7 @@
             life: 0,
             started: 0.0,
             rate: rate(rng),
-            copy: None,
-            fresh: None,
+            copy: Copy::new(&bounds()),
             agent_due: f64::INFINITY,
             frozen_until: 0.0,
         };
@@ -630,7 +627,7 @@
         let gateway = &mut self.gateways[number];
         gateway.life += 1;
         gateway.started = self.now;
-        (gateway.copy, gateway.fresh, gateway.agent_due) = (None, None, f64::INFINITY);
+        (gateway.copy, gateway.agent_due) = (Copy::new(&bounds()), f64::INFINITY);
         gateway.agent = Some(Follow::new(&settings, 0.0, &mut out));
         let life = gateway.life;
         self.carry_out(number, out);
@@ -642,7 +639,7 @@
     pub fn kill_gateway(&mut self, number: usize) {
         let gateway = &mut self.gateways[number];
         gateway.agent = None;
-        gateway.copy = None;
+        gateway.copy = Copy::new(&bounds());
         gateway.life += 1;
         let links: Vec<_> =
             self.links.iter().filter(|(_, link)| link.gateway == number).map(|(id, _)| *id).collect();
@@ -801,38 +798,22 @@
 
     // ---- Proxies ----------------------------------------------------------------------------------------------
 
-    /// What a proxy takes from its agent, as `proxy.rs` does.
     fn fed(&mut self, number: usize, news: ToProxy) {
         let now = self.local(number);
-        let gateway = &mut self.gateways[number];
-        let held = gateway.copy.as_ref().map_or(0, |copy| copy.index);
-        if let Some(whole) = news.whole.filter(|whole| whole.index > held) {
-            gateway.copy = Some(State::from_whole(now, whole));
-        }
-        if let Some(copy) = &mut gateway.copy {
-            copy.follow(now, &news.changes);
-            if let Some(mend) = news.mend {
-                copy.mend(now, mend);
-            }
-        }
-        if news.age_ms >= 0.0 {
-            let at = now - news.age_ms;
-            gateway.fresh = Some(gateway.fresh.map_or(at, |fresh| fresh.max(at)));
-        }
-        self.judge.copied(number, self.gateways[number].life, self.gateways[number].copy.as_ref());
+        self.gateways[number].copy.take(now, news);
+        self.judge.copied(number, self.gateways[number].life, self.gateways[number].copy.state());
     }
 
     /// Whether a proxy goes by the keys that it has.
     pub fn goes_by_keys(&self, number: usize) -> bool {
-        let lease = bounds().lease().as_secs_f64() * 1000.0;
         let gateway = &self.gateways[number];
-        gateway.agent.is_some() && gateway.fresh.is_some_and(|at| self.local(number) - at < lease)
+        gateway.agent.is_some() && gateway.copy.in_touch(self.local(number))
     }
 
     fn proxy_speaks(&mut self, number: usize, life: u64) {
-        let held = self.gateways[number].copy.as_ref().map_or(0, |copy| copy.index);
-        let word =
-            FromProxy { front: format!("10.1.0.{}:80", number + 1), ready: held > 0, held, ranges: None };
+        let copy = &mut self.gateways[number].copy;
+        let ready = copy.held() > 0;
+        let word = copy.word(format!("10.1.0.{}:80", number + 1), ready);
         self.agent(number, life, follow::Event::Proxy { link: 1, word });
         if self.gateways[number].life == life {
             self.at(20.0, What::Proxy(number, life));
