Decide an order where it is applied, and keep what came of it in the agreed state

Need: two operators were both confirmed under one number. Whether an order fits was asked before its entry was proposed, and applying it asked nothing: a call that ran out of time gave its turn free with its entry still in the log, the next order on top of the same version was judged by the old state, and both were agreed on.

Change: an entry says what it builds on, and applying it takes or refuses it, alike at every copy; the caller is told by the state after that. No turns: orders are under way at once, 16 proposed at most. The same order that comes while it is proposed joins its entry. The agreed state holds a ledger: what was taken and what was refused by an entry, by number and digests (of what the order says, of the whole that it brings, of the call's bytes), so that any member answers the same again; a repeated order waits for the change that took it, not for the newest one. An order that may have been forgotten (4,096 are kept) gets no clear answer. One on top of a version that is not known is refused by an entry, so that a copy of it which comes late doesn't find that it fits; where that version is proposed it waits. Agents are sent the number alone of an order that was refused. Old entries and old states are read; `based_on` is absent in the first and they are taken, as they were.

Ruled out: holding the turn until the entry is decided: with a leader cut off it is held by nobody who knows, and orders queue behind a lost one.

Tests: copies.rs makes entries by the new form and leaves out the ledger, which agents don't hold, where it left out the digests.

--- a/overland/src/calls.rs
+++ b/overland/src/calls.rs
@@ -2,6 +2,7 @@
 //! behind one handler.
 
 use crate::config::{Envelope, Invalid};
+use crate::ledger::Mark;
 use crate::news::{Backend, Evacuated};
 use crate::status::Status;
 use cherrytally::Millis;
@@ -41,6 +42,8 @@
     Method,
     /// Not now, or not known whether: the same call again finds out.
     Later,
+    /// It can't be told any more whether it was taken: nothing is claimed.
+    Unclear(String),
 }
 
 impl From<Invalid> for Refusal {
@@ -66,6 +69,7 @@
             Refusal::Unknown => (404, "no such call"),
             Refusal::Method => (405, "another method is needed"),
             Refusal::Later => (503, "not now"),
+            Refusal::Unclear(why) => (503, why.as_str()),
         };
         let after_ms = (status == 503).then_some(LATER_MS);
         Reply { status, body: miniserde::json::to_string(&Wrong { error: why }), after_ms }
@@ -255,7 +259,7 @@
 
 // ---- Operators --------------------------------------------------------------------------------------------------
 
-/// A digest of a call: the same call again has the same.
+/// A digest of a call's path and bytes.
 fn digest(called: &Called) -> u64 {
     use std::hash::Hasher;
     let mut hasher = crate::state::hasher();
@@ -270,13 +274,20 @@
     pub envelope: Result<Envelope, Invalid>,
     /// It changes named items; otherwise it brings a whole configuration.
     pub patch: bool,
-    /// The call's digest.
-    pub digest: u64,
+    /// What tells it from others; none where it can't be read.
+    pub mark: Option<Mark>,
 }
 
 impl Order {
     fn read(called: &Called, patch: bool) -> Order {
-        Order { envelope: Envelope::read(called.body), patch, digest: digest(called) }
+        let envelope = Envelope::read(called.body);
+        let mark = envelope.as_ref().ok().map(|envelope| Mark {
+            edition: envelope.edition,
+            based_on: envelope.based_on,
+            order: envelope.digest(patch),
+            call: digest(called),
+        });
+        Order { envelope, patch, mark }
     }
 }
 
--- a/overland/src/config.rs
+++ b/overland/src/config.rs
@@ -5,6 +5,7 @@
 use miniserde::json::{Array, Object, Value};
 use miniserde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher;
 use std::time::Duration;
 
 /// Longest time-out of a route.
@@ -265,7 +266,7 @@
     pub edition: u64,
     /// The one it builds on; nought for the first.
     pub based_on: u64,
-    /// The object itself.
+    /// The object itself, without the version that it builds on.
     pub object: Object,
 }
 
@@ -273,14 +274,14 @@
     /// Reads the body of a call that changes the configuration.
     pub fn read(body: &[u8]) -> Result<Envelope, Invalid> {
         let text = std::str::from_utf8(body).map_err(|_| Invalid("it is no text".into()))?;
-        let Ok(Value::Object(object)) = miniserde::json::from_str(text) else {
+        let Ok(Value::Object(mut object)) = miniserde::json::from_str(text) else {
             return invalid("it can't be read whole");
         };
         let edition = match object.get("edition") {
             Some(Value::String(text)) => units::edition(text),
             _ => None,
         };
-        let based_on = match object.get("based_on") {
+        let based_on = match object.remove("based_on").as_ref() {
             Some(Value::String(text)) if text == "0" => Some(0),
             Some(Value::String(text)) => units::edition(text),
             Some(Value::Number(number)) if number.to_string() == "0" => Some(0),
@@ -294,9 +295,19 @@
         }
     }
 
+    /// A digest of what it says: the same again has the same, whatever the order of its members and the blanks between.
+    /// A whole configuration has the digest that [`digest_of_whole`] gives for its text.
+    pub fn digest(&self, patch: bool) -> u64 {
+        let text = miniserde::json::to_string(&self.object);
+        if patch {
+            digest_of("patch", self.based_on, &text)
+        } else {
+            digest_of_whole(self.based_on, &text)
+        }
+    }
+
     /// The whole configuration that it brings, as text: what was sent, without the version it builds on.
-    pub fn whole(mut self) -> Result<(Config, String), Invalid> {
-        self.object.remove("based_on");
+    pub fn whole(self) -> Result<(Config, String), Invalid> {
         let text = miniserde::json::to_string(&self.object);
         Ok((Config::read(&text)?, text))
     }
@@ -327,6 +338,19 @@
     }
 }
 
+/// A digest of a whole configuration's text and of the version that it builds on.
+pub fn digest_of_whole(based_on: u64, text: &str) -> u64 {
+    digest_of("whole", based_on, text)
+}
+
+fn digest_of(what: &str, based_on: u64, text: &str) -> u64 {
+    let mut hasher = crate::state::hasher();
+    hasher.write(what.as_bytes());
+    hasher.write_u64(based_on);
+    hasher.write(text.as_bytes());
+    hasher.finish()
+}
+
 fn text(value: &Value, field: &str) -> Option<String> {
     match value {
         Value::Object(object) => match object.get(field) {
--- a/overland/src/lib.rs
+++ b/overland/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod figures;
 pub mod follow;
+pub mod ledger;
 pub mod link;
 pub mod member;
 pub mod news;
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::agreement::{self, Agreement, Entry, Letter, Name, Save, Saved};
 use crate::calls::{self, Called, Outcome, Refusal, Reply, Served, Serves};
+use crate::ledger::Mark;
 use crate::news::{Change, Charges, Forwarded, FromAgent, Kind, ToAgent, Totals, Whole, Word};
 use crate::settings::Settings;
 use crate::state::{Digest, State, Touched};
@@ -20,7 +21,7 @@
 use cherrytally::Millis;
 use eyre::{eyre, Result};
 use joining::Passed;
-use orders::Turn;
+use orders::Orders;
 use presence::Presence;
 use prost::Message;
 use push::Agent;
@@ -165,12 +166,12 @@
 enum Stage {
     /// The leader was asked.
     Passed(Passed),
-    /// An order that waits for its turn.
-    Queued(calls::Order),
-    /// Its change is about to be proposed.
-    Proposing,
+    /// An order that is heard, and not proposed yet.
+    Heard(calls::Order),
+    /// Its change is about to be proposed; an order's, where there is a mark.
+    Proposing(Option<Mark>),
     /// Its change is proposed as this entry, in this term.
-    Proposed { index: u64, term: u64 },
+    Proposed { index: u64, term: u64, mark: Option<Mark> },
     /// Its change is agreed on, and waits to be in force at every gateway.
     Enforcing { index: u64 },
 }
@@ -204,7 +205,7 @@
     /// When it last handed over for its slow disk.
     handed: Option<Millis>,
     calls: BTreeMap<Caller, Waiting>,
-    turn: Turn,
+    orders: Orders,
     presence: Presence,
     agents: BTreeMap<u64, Agent>,
     count: count::Count,
@@ -255,7 +256,7 @@
             pace: Pace::default(),
             handed: None,
             calls: BTreeMap::new(),
-            turn: Turn::default(),
+            orders: Orders::default(),
             presence: Presence::default(),
             agents: BTreeMap::new(),
             count: count::Count::default(),
@@ -371,7 +372,7 @@
                 }
             } else {
                 if self.next.is_empty() {
-                    self.take_turns(now, out);
+                    self.go_on_with_orders(now, out);
                 }
                 let event = match self.next.pop_front() {
                     Some(Next::Event(event)) => event,
@@ -398,9 +399,16 @@
             }
             return None;
         }
+        let (index, term) = (self.agreement.last() + 1, self.agreement.term());
+        if let Kind::Configured(config) = &kind {
+            self.orders.propose(config, index, term);
+        }
         if let Some(caller) = caller {
-            let (index, term) = (self.agreement.last() + 1, self.agreement.term());
-            self.become_stage(&caller, Stage::Proposed { index, term });
+            let mark = match self.calls.get(&caller).map(|w| &w.stage) {
+                Some(Stage::Proposing(mark)) => *mark,
+                _ => None,
+            };
+            self.become_stage(&caller, Stage::Proposed { index, term, mark });
         }
         Some(agreement::Event::Propose(Change { kind: Some(kind) }.encode_to_vec()))
     }
@@ -432,21 +440,19 @@
         if touched == Touched::Config {
             self.take_limits();
         }
-        let waits = |stage: &Stage| matches!(stage, Stage::Proposed { index, .. } if *index == entry.index);
-        let caller = self.calls.iter().find(|(_, w)| waits(&w.stage)).map(|(caller, _)| caller.clone());
-        let Some(caller) = caller else { return };
-        let term = self.calls.get(&caller).and_then(|w| match w.stage {
-            Stage::Proposed { term, .. } => Some(term),
+        self.orders.decided(entry.index);
+        let waits = |stage: &Stage| match stage {
+            Stage::Proposed { index, term, mark } if *index == entry.index => Some((*term, *mark)),
             _ => None,
-        });
-        // Another term's entry in its place means that it was not taken.
-        if term != Some(entry.term) {
-            self.refuse(&caller, &Refusal::Later, out);
-        } else if self.turn.is(&caller) {
-            self.become_stage(&caller, Stage::Enforcing { index: entry.index });
-            self.enforce(now, out);
-        } else {
-            self.grant(&caller, out);
+        };
+        let callers = self.calls.iter().filter_map(|(caller, w)| Some((caller.clone(), waits(&w.stage)?)));
+        for (caller, (term, mark)) in callers.collect::<Vec<_>>() {
+            match mark {
+                // Another term's entry in its place means that it was not taken.
+                _ if term != entry.term => self.refuse(&caller, &Refusal::Later, out),
+                Some(mark) => self.decided(now, &caller, &mark, out),
+                None => self.grant(&caller, out),
+            }
         }
     }
 
@@ -454,6 +460,7 @@
     fn take_duty(&mut self, now: Millis, leads: bool, out: &mut Vec<Action>) {
         log::info!("core: {} in term {}", if leads { "leads" } else { "follows" }, self.agreement.term());
         self.told = false;
+        self.orders.forget();
         self.presence = Presence::since(now);
         let slack = self.settings.bounds.quota_slack;
         self.count = if leads {
@@ -492,14 +499,14 @@
                 let until = now + CALL_MS;
                 match wait {
                     Wait::Agreed(kind) => {
-                        let stage = Stage::Proposing;
+                        let stage = Stage::Proposing(None);
                         self.calls.insert(caller.clone(), Waiting { granted, until, stage });
                         self.next.push_back(Next::Propose(kind, Some(caller)));
                     }
                     Wait::Order(order) => {
-                        let stage = Stage::Queued(order);
+                        let stage = Stage::Heard(order);
                         self.calls.insert(caller.clone(), Waiting { granted, until, stage });
-                        self.turn.wait(caller);
+                        self.hear_order(caller, out);
                     }
                 }
             }
@@ -541,7 +548,7 @@
     /// Is done with a call.
     fn let_go(&mut self, caller: &Caller) {
         self.calls.remove(caller);
-        self.turn.leave(caller);
+        self.orders.leave(caller);
     }
 }
 
--- a/overland/src/member/orders.rs
+++ b/overland/src/member/orders.rs
@@ -1,45 +1,65 @@
-//! Orders of operators: one change of the configuration at a time, taken, agreed on and in force before the next; zones
-//! that are emptied and taken back; the configuration as it stands.
+//! Orders of operators: changes of the configuration, zones that are emptied and taken back, the configuration as it
+//! stands.
+//!
+//! A change of the configuration goes through five states. It is *heard*: it waits for the version that it builds on, or for
+//! room. It is *proposed* as an entry; the same order again joins it there. It is *agreed on*: applying the entry takes or
+//! refuses it, alike at every member, and the agreed state keeps which. It is *in force* once no gateway goes by anything
+//! older. It is *answered*. A caller may be let go in each of them, without a clear answer; the same order again finds out.
+//! `docs/system/orders.md` tells what holds and why.
 
 use super::{Action, Caller, Granted, Member, Next, Stage, Wait};
 use crate::calls::{Answers, Done, Evacuate, Get, Order, Outcome, Patch, Put, Refusal, TakeBack};
-use crate::news::{Configured, Kind};
+use crate::config::{digest_of_whole, Envelope};
+use crate::ledger::Mark;
+use crate::news::{Configured, Kind, Refused};
+use crate::state::Fit;
 use cherrytally::Millis;
 use std::collections::VecDeque;
 
-/// Whose turn it is.
+/// Orders that are proposed at once: eight are promised, and as many again may have been given up by their callers.
+const PROPOSED_MOST: usize = 16;
+/// Callers whose orders are heard at once: a whole configuration may hold megabytes.
+const HEARD_MOST: usize = 32;
+
+/// Orders that are under way.
 #[derive(Default)]
-pub(super) struct Turn {
-    now: Option<Caller>,
-    then: VecDeque<Caller>,
+pub(super) struct Orders {
+    /// Those that are heard, in the order in which they came.
+    heard: VecDeque<Caller>,
+    /// Those that are proposed and not decided, in this term.
+    proposed: Vec<Proposed>,
+}
+
+/// An order that is proposed.
+struct Proposed {
+    /// A digest of what it says.
+    order: u64,
+    /// The number that it brings.
+    edition: u64,
+    index: u64,
+    term: u64,
 }
 
-impl Turn {
-    /// Its turn comes when all before it are done.
-    pub(super) fn wait(&mut self, caller: Caller) {
-        self.then.push_back(caller);
+impl Orders {
+    /// Its caller wants nothing any more. What is proposed stays so.
+    pub(super) fn leave(&mut self, caller: &Caller) {
+        self.heard.retain(|heard| heard != caller);
     }
 
-    /// Whether it is its turn.
-    pub(super) fn is(&self, caller: &Caller) -> bool {
-        self.now.as_ref() == Some(caller)
+    /// An order is proposed as this entry.
+    pub(super) fn propose(&mut self, config: &Configured, index: u64, term: u64) {
+        let order = config.digests.first().copied().unwrap_or(config.call);
+        self.proposed.push(Proposed { order, edition: config.edition, index, term });
     }
 
-    /// It is done, or wants no turn any more.
-    pub(super) fn leave(&mut self, caller: &Caller) {
-        if self.is(caller) {
-            self.now = None;
-        }
-        self.then.retain(|waits| waits != caller);
+    /// The entries up to this one are decided.
+    pub(super) fn decided(&mut self, index: u64) {
+        self.proposed.retain(|proposed| proposed.index > index);
     }
 
-    /// The next one has its turn, if nobody has.
-    fn next(&mut self) -> Option<Caller> {
-        if self.now.is_some() {
-            return None;
-        }
-        self.now = self.then.pop_front();
-        self.now.clone()
+    /// Another leads, or this process does anew: what is proposed is another's to decide.
+    pub(super) fn forget(&mut self) {
+        self.proposed.clear();
     }
 }
 
@@ -76,49 +96,130 @@
     }
 }
 
+/// What is done with an order that is heard.
+enum Step {
+    /// It stays.
+    Wait,
+    /// The same is proposed already, as this entry.
+    Join { index: u64, term: u64 },
+    /// It is proposed.
+    Propose(Kind),
+    /// It was taken, by this change.
+    Taken(u64),
+    /// It is refused, or has no clear answer.
+    End(Refusal),
+}
+
 impl Member {
-    /// Those whose turn it is are looked at, until one of them waits for something.
-    pub(super) fn take_turns(&mut self, now: Millis, out: &mut Vec<Action>) {
-        while let Some(caller) = self.turn.next() {
-            let Some(waiting) = self.calls.get_mut(&caller) else {
-                self.turn.leave(&caller);
-                continue;
-            };
-            let Stage::Queued(order) = std::mem::replace(&mut waiting.stage, Stage::Proposing) else {
-                self.turn.leave(&caller);
-                continue;
+    /// An order is heard.
+    pub(super) fn hear_order(&mut self, caller: Caller, out: &mut Vec<Action>) {
+        if self.orders.heard.len() >= HEARD_MOST {
+            return self.refuse(&caller, &Refusal::Later, out);
+        }
+        self.orders.heard.push_back(caller);
+    }
+
+    /// Goes on with the orders that are heard, until one is to be proposed.
+    pub(super) fn go_on_with_orders(&mut self, now: Millis, out: &mut Vec<Action>) {
+        for caller in self.orders.heard.clone() {
+            let step = match self.calls.get(&caller).map(|waiting| &waiting.stage) {
+                Some(Stage::Heard(order)) => self.step_of(now, order),
+                _ => Step::End(Refusal::Later),
             };
-            match self.take(now, order) {
-                Ok(Some(kind)) => self.next.push_back(Next::Propose(kind, Some(caller))),
-                Ok(None) => {
-                    self.become_stage(&caller, Stage::Enforcing { index: self.state.index });
+            let mark = self.mark_of(&caller);
+            if !matches!(step, Step::Wait) {
+                self.orders.leave(&caller);
+            }
+            match step {
+                Step::Wait => {}
+                Step::Join { index, term } => {
+                    self.become_stage(&caller, Stage::Proposed { index, term, mark });
+                }
+                Step::Propose(kind) => {
+                    self.become_stage(&caller, Stage::Proposing(mark));
+                    self.next.push_back(Next::Propose(kind, Some(caller)));
+                    return;
+                }
+                Step::Taken(index) => {
+                    self.become_stage(&caller, Stage::Enforcing { index });
                     self.enforce(now, out);
                 }
-                Err(refusal) => self.refuse(&caller, &refusal, out),
+                Step::End(refusal) => self.refuse(&caller, &refusal, out),
             }
         }
     }
 
-    /// What an order changes; nothing where it was taken before.
-    fn take(&self, now: Millis, order: Order) -> Result<Option<Kind>, Refusal> {
+    fn mark_of(&self, caller: &Caller) -> Option<Mark> {
+        match &self.calls.get(caller)?.stage {
+            Stage::Heard(order) => order.mark,
+            _ => None,
+        }
+    }
+
+    fn step_of(&self, now: Millis, order: &Order) -> Step {
         if !self.vouches(now) {
-            return Err(Refusal::Later);
+            return Step::End(Refusal::Later);
         }
-        if self.state.calls.contains(&order.digest) {
-            return Ok(None);
+        let (envelope, mark) = match (&order.envelope, &order.mark) {
+            (Ok(envelope), Some(mark)) => (envelope, mark),
+            (Err(invalid), _) => return Step::End(invalid.clone().into()),
+            (Ok(_), None) => return Step::End(Refusal::Later),
+        };
+        let proposed = &self.orders.proposed;
+        if let Some(same) = proposed.iter().find(|proposed| proposed.order == mark.order) {
+            return Step::Join { index: same.index, term: same.term };
         }
-        let envelope = order.envelope?;
-        let current = self.state.config.clone().unwrap_or_default();
-        if envelope.based_on != current.edition {
-            return Err(Refusal::Conflict(format!("r{} is in place", current.edition)));
+        match self.state.fit(mark) {
+            Fit::Taken(index) => Step::Taken(index),
+            // All that is proposed is decided within moments.
+            Fit::Fits | Fit::Ahead if proposed.len() >= PROPOSED_MOST => Step::Wait,
+            Fit::Ahead if proposed.iter().any(|proposed| proposed.edition == mark.based_on) => Step::Wait,
+            // It is refused by an entry: a copy of it that comes late must not find that it fits by then.
+            Fit::Ahead => {
+                let Mark { edition, based_on, order, .. } = *mark;
+                Step::Propose(Kind::Refused(Refused { edition, based_on, order }))
+            }
+            Fit::Fits => match self.brought_by(envelope, mark, order.patch) {
+                Ok(kind) => Step::Propose(kind),
+                Err(refusal) => Step::End(refusal),
+            },
+            fit => Step::End(self.refusal_of(fit, mark)),
         }
-        let edition = envelope.edition;
-        if edition <= current.edition {
-            return Err(Refusal::Bad(format!("edition r{edition} is not above r{}", current.edition)));
+    }
+
+    /// The change that an order wants which fits.
+    fn brought_by(&self, envelope: &Envelope, mark: &Mark, patch: bool) -> Result<Kind, Refusal> {
+        let current = self.state.config.as_ref().map_or("", |config| config.text.as_str());
+        let envelope = envelope.clone();
+        let (_, text) = if patch { envelope.patched(current) } else { envelope.whole() }?;
+        let Mark { edition, based_on, order, call } = *mark;
+        log::info!("core: proposes r{edition} on top of r{based_on}");
+        let digests = vec![order, digest_of_whole(based_on, &text)];
+        Ok(Kind::Configured(Configured { edition, text, call, based_on: Some(based_on), digests }))
+    }
+
+    fn refusal_of(&self, fit: Fit, mark: &Mark) -> Refusal {
+        let current = self.state.edition();
+        match fit {
+            Fit::Late => Refusal::Conflict(format!("r{current} is in place")),
+            Fit::Backward => {
+                Refusal::Bad(format!("edition r{} is not above r{}", mark.edition, mark.based_on))
+            }
+            Fit::Forgotten => Refusal::Unclear(format!("r{} lies too far back to tell", mark.edition)),
+            // Decided, and neither taken nor refused: it was another order's entry.
+            Fit::Taken(_) | Fit::Fits | Fit::Ahead => Refusal::Later,
+        }
+    }
+
+    /// An order's entry is applied: its caller goes on by what that gave.
+    pub(super) fn decided(&mut self, now: Millis, caller: &Caller, mark: &Mark, out: &mut Vec<Action>) {
+        match self.state.fit(mark) {
+            Fit::Taken(index) => {
+                self.become_stage(caller, Stage::Enforcing { index });
+                self.enforce(now, out);
+            }
+            fit => self.refuse(caller, &self.refusal_of(fit, mark), out),
         }
-        let (_, text) = if order.patch { envelope.patched(&current.text) } else { envelope.whole() }?;
-        log::info!("core: takes r{edition} on top of r{}", current.edition);
-        Ok(Some(Kind::Configured(Configured { edition, text, call: order.digest })))
     }
 
     /// Answers the orders that are in force: every gateway that may go by older keys holds them, or has stopped going
--- a/overland/src/member/push.rs
+++ b/overland/src/member/push.rs
@@ -1,8 +1,8 @@
 //! What agents are told: who leads, and numbered changes.
 
 use super::{change_in, Action, Member};
-use crate::agreement::Name;
-use crate::news::{FromAgent, Gateway, Numbered, Pulse, ToAgent};
+use crate::agreement::{Entry, Name};
+use crate::news::{Change, FromAgent, Gateway, Kind, Numbered, Pulse, ToAgent};
 use cherrytally::Millis;
 
 /// An agent's link.
@@ -88,7 +88,14 @@
         let entries = self.agreement.since(agent.sent).filter(|_| agent.sent > 0);
         let news = match entries {
             Some(entries) => {
-                let changes = entries.map(|entry| Numbered { index: entry.index, change: change_in(entry) });
+                // An order that was refused is a number alone to them.
+                let stands = |entry: &&Entry, change: &Change| match &change.kind {
+                    Some(Kind::Configured(_)) => self.state.ledger.took(entry.index),
+                    Some(Kind::Refused(_)) => false,
+                    _ => true,
+                };
+                let change = |entry| change_in(entry).filter(|change| stands(&entry, change));
+                let changes = entries.map(|entry| Numbered { index: entry.index, change: change(entry) });
                 ToAgent { changes: changes.collect(), ..ToAgent::default() }
             }
             None => ToAgent { whole: Some(self.state.whole(now, false)), ..ToAgent::default() },
--- a/overland/src/news.rs
+++ b/overland/src/news.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Change {
     /// Which.
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<Kind>,
 }
 
@@ -31,9 +31,12 @@
     /// The gateway of this machine is gone.
     #[prost(string, tag = "6")]
     GatewayGone(String),
+    /// An order was refused for good.
+    #[prost(message, tag = "7")]
+    Refused(Refused),
 }
 
-/// A configuration.
+/// A configuration. As a change it is an order: it is taken where it fits what is in force, and changes nothing elsewhere.
 #[derive(Clone, PartialEq, Message)]
 pub struct Configured {
     /// Its number.
@@ -42,9 +45,43 @@
     /// The whole of it, as JSON.
     #[prost(string, tag = "2")]
     pub text: String,
-    /// A digest of the call that brought it: the same call again is acknowledged again.
+    /// A digest of the call that brought it, path and bytes: the same call again is acknowledged again.
     #[prost(fixed64, tag = "3")]
     pub call: u64,
+    /// In a change: the number that it builds on. None in those of earlier programs, which compared before they proposed.
+    #[prost(uint64, optional, tag = "4")]
+    pub based_on: Option<u64>,
+    /// In a change: digests of what the order said, and of the whole that it brings.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub digests: Vec<u64>,
+}
+
+/// An order on top of a version that was never in force.
+#[derive(Clone, PartialEq, Message)]
+pub struct Refused {
+    /// The number that it was to bring.
+    #[prost(uint64, tag = "1")]
+    pub edition: u64,
+    /// The number that it builds on.
+    #[prost(uint64, tag = "2")]
+    pub based_on: u64,
+    /// A digest of what it said.
+    #[prost(fixed64, tag = "3")]
+    pub order: u64,
+}
+
+/// What came of an order.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ordered {
+    /// The number that it brought.
+    #[prost(uint64, tag = "1")]
+    pub edition: u64,
+    /// The change that decided.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// Digests by which it is known again.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub digests: Vec<u64>,
 }
 
 /// A zone is emptied, or taken back.
@@ -116,9 +153,26 @@
     /// The gateways.
     #[prost(message, repeated, tag = "5")]
     pub gateways: Vec<Gateway>,
-    /// Digests of the calls that brought earlier configurations.
+    /// Digests of the calls that brought configurations by earlier programs.
     #[prost(fixed64, repeated, tag = "6")]
     pub calls: Vec<u64>,
+    /// What came of the operators' orders.
+    #[prost(message, optional, boxed, tag = "7")]
+    pub orders: Option<Box<Orders>>,
+}
+
+/// What came of the operators' orders, as far as it is remembered.
+#[derive(Clone, PartialEq, Message)]
+pub struct Orders {
+    /// Orders that were taken.
+    #[prost(message, repeated, tag = "1")]
+    pub taken: Vec<Ordered>,
+    /// Orders that were refused by a change.
+    #[prost(message, repeated, tag = "2")]
+    pub refused: Vec<Ordered>,
+    /// Orders of this number or below may be forgotten.
+    #[prost(uint64, tag = "3")]
+    pub forgotten: u64,
 }
 
 /// A range of the state and its digest. Copies with the same number compare them.
--- a/overland/src/state.rs
+++ b/overland/src/state.rs
@@ -1,16 +1,17 @@
 //! The agreed state: what every process of the system holds a copy of. It changes by numbered changes alone.
 
-use crate::news::{Backend, Change, Configured, Gateway, Kind, Mend, Numbered, Range as Told, Ranges, Whole};
+use crate::ledger::{Ledger, Mark, Standing};
+use crate::news::{
+    Backend, Change, Configured, Gateway, Kind, Mend, Numbered, Range as Told, Ranges, Refused, Whole,
+};
 use cherrytally::Millis;
 use prost::Message;
 use siphasher::sip::SipHasher13;
 use std::cell::Cell;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
 
-/// Digests of calls that brought configurations, the newest: a call that is repeated later is a new one.
-const CALLS_MOST: usize = 4096;
-
 /// A backend, and until when it is cold by the clock of whoever holds the copy.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Known {
@@ -33,8 +34,25 @@
     pub backends: BTreeMap<String, Known>,
     /// Gateways by machine.
     pub gateways: BTreeMap<String, Gateway>,
-    /// Digests of the calls that brought configurations.
-    pub calls: VecDeque<u64>,
+    /// What came of the operators' orders; in the copies of the core alone.
+    pub ledger: Ledger,
+}
+
+/// What is to be done with an order, by the state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fit {
+    /// It was taken, by this change.
+    Taken(u64),
+    /// It may have been taken long ago: nothing is claimed.
+    Forgotten,
+    /// It fits: nothing was taken on top of what it builds on.
+    Fits,
+    /// It builds on a version that was not in force up to now.
+    Ahead,
+    /// Another version is in place, and it can't be taken any more.
+    Late,
+    /// Its number is not above the one that it builds on.
+    Backward,
 }
 
 /// The range of the configuration.
@@ -94,13 +112,10 @@
     pub fn apply(&mut self, now: Millis, index: u64, change: Option<&Change>) -> Touched {
         self.index = index;
         match change.and_then(|change| change.kind.as_ref()) {
-            Some(Kind::Configured(config)) => {
-                self.calls.push_back(config.call);
-                if self.calls.len() > CALLS_MOST {
-                    self.calls.pop_front();
-                }
-                self.config = Some(config.clone());
-                Touched::Config
+            Some(Kind::Configured(config)) => self.configure(index, config),
+            Some(Kind::Refused(refused)) => {
+                self.ledger.refuse(index, refused);
+                Touched::Nothing
             }
             Some(Kind::Evacuated(evacuated)) => {
                 if evacuated.on {
@@ -134,26 +149,68 @@
         }
     }
 
+    /// The number of the configuration in force; nought before the first.
+    pub fn edition(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.edition)
+    }
+
+    /// Takes or refuses an order, by what is in force: the same at every copy. Numbers in force only rise, so that at most
+    /// one order is ever taken on top of each.
+    fn configure(&mut self, index: u64, config: &Configured) -> Touched {
+        let current = self.edition();
+        // An earlier program compared before it proposed, and its entries were all taken.
+        let based_on = config.based_on.unwrap_or(current);
+        if config.based_on.is_some() && (based_on != current || config.edition <= current) {
+            if based_on > current {
+                let order = config.digests.first().copied().unwrap_or(config.call);
+                self.ledger.refuse(index, &Refused { edition: config.edition, based_on, order });
+            }
+            return Touched::Nothing;
+        }
+        self.ledger.take(index, config);
+        self.config = Some(Configured { based_on: None, digests: Vec::new(), ..config.clone() });
+        Touched::Config
+    }
+
+    /// What is to be done with an order. What it says of one that was taken, is late or goes backward holds for good.
+    pub fn fit(&self, mark: &Mark) -> Fit {
+        match self.ledger.standing(mark) {
+            Standing::Taken(index) => Fit::Taken(index.unwrap_or(self.index)),
+            Standing::Refused => Fit::Late,
+            _ if mark.edition <= mark.based_on => Fit::Backward,
+            Standing::Forgotten => Fit::Forgotten,
+            Standing::Untaken => match mark.based_on.cmp(&self.edition()) {
+                Ordering::Equal => Fit::Fits,
+                Ordering::Greater => Fit::Ahead,
+                Ordering::Less => Fit::Late,
+            },
+        }
+    }
+
     /// Takes in numbered changes that follow; those that are in it already are passed over.
     pub fn follow(&mut self, now: Millis, changes: &[Numbered]) -> Vec<Touched> {
         let new = changes.iter().filter(|numbered| numbered.index > self.index).collect::<Vec<_>>();
         new.into_iter().map(|numbered| self.apply(now, numbered.index, numbered.change.as_ref())).collect()
     }
 
-    /// The copy as a message. The calls of operators are for the core alone.
+    /// The copy as a message. What came of the operators' orders is for the core alone.
     pub fn whole(&self, now: Millis, calls: bool) -> Whole {
         let backend = |known: &Known| {
             let left = (known.cold_until - now).max(0.0);
             Backend { cold_ms: left.ceil() as u64, ..known.backend.clone() }
         };
-        Whole {
+        let mut whole = Whole {
             index: self.index,
             config: self.config.clone(),
             evacuated: self.evacuated.iter().cloned().collect(),
             backends: self.backends.values().map(backend).collect(),
             gateways: self.gateways.values().cloned().collect(),
-            calls: if calls { self.calls.iter().copied().collect() } else { Vec::new() },
+            ..Whole::default()
+        };
+        if calls {
+            self.ledger.write(&mut whole);
         }
+        whole
     }
 
     // ---- Comparing copies ---------------------------------------------------------------------------------------
@@ -227,7 +284,8 @@
     }
 
     /// A copy from a message.
-    pub fn from_whole(now: Millis, whole: Whole) -> Self {
+    pub fn from_whole(now: Millis, mut whole: Whole) -> Self {
+        let ledger = Ledger::read(&mut whole);
         let known = |backend: Backend| {
             let cold_until = if backend.cold_ms > 0 { now + backend.cold_ms as f64 } else { 0.0 };
             (backend.id.clone(), Known { backend, cold_until })
@@ -238,7 +296,7 @@
             evacuated: whole.evacuated.into_iter().collect(),
             backends: whole.backends.into_iter().map(known).collect(),
             gateways: whole.gateways.into_iter().map(|g| (g.node.clone(), g)).collect(),
-            calls: whole.calls.into(),
+            ledger,
         }
     }
 }
--- a/overland/tests/copies.rs
+++ b/overland/tests/copies.rs
@@ -11,6 +11,7 @@
             edition: rng.u64(..),
             text: format!("{{{number}}}"),
             call: rng.u64(..),
+            ..Configured::default()
         }),
         1 => Kind::Evacuated(Evacuated { zone, on: rng.bool() }),
         2 => Kind::BackendGone(format!("i-{number}")),
@@ -42,7 +43,7 @@
 /// What must be the same in all copies.
 fn lasting(state: &State) -> State {
     let mut state = state.clone();
-    state.calls.clear();
+    state.ledger = Default::default();
     state.backends.values_mut().for_each(|known| (known.cold_until, known.backend.cold_ms) = (0.0, 0));
     state
 }
--- /dev/null
+++ b/overland/tests/orders.rs
@@ -0,0 +1,75 @@
+//! Orders of operators against a plain list of versions: at most one is taken on each, every 200 is in the list, nothing
+//! in it was refused, and what is read back is its end. `HISTORIES` plays more of them, from `SEED` on.
+
+mod simulated;
+
+use simulated::{racers, Place, World};
+
+/// Plays drawn histories, and tells the seed of one that fails.
+fn histories(few: u64, play: impl Fn(u64)) {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let first = number("SEED").unwrap_or(0);
+    for seed in first..first + number("HISTORIES").unwrap_or(few) {
+        let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play(seed)));
+        if let Err(why) = played {
+            eprintln!("history {seed} fails");
+            std::panic::resume_unwind(why);
+        }
+    }
+}
+
+/// Orders race while letters and answers are lost, leaders are cut off, killed and stand still, and disks are slow.
+fn race(seed: u64, orders: usize) -> World {
+    let mut world = World::new(seed, [3, 5][seed as usize % 2], 0, 4, 0, 0);
+    world.begin();
+    racers::begin(&mut world, 8, orders);
+    world.racers.same_bytes = std::env::var("SAME").is_ok();
+    world.luck.ack_loss = world.rng.f64() * 0.5;
+    let most = world.rng.f64();
+    for _ in 0..400 {
+        if world.racers.left == 0 {
+            break;
+        }
+        world.luck.loss = if world.rng.bool() { 0.0 } else { world.rng.f64() * 0.6 * most };
+        world.luck.twice = world.rng.f64() * 0.2 * most;
+        let leader = world.leader();
+        match (world.rng.u32(0..12), leader) {
+            (0, Some(leader)) => {
+                let all = (0..world.cores.len()).map(Place::Core).collect::<Vec<_>>();
+                match world.rng.u32(0..3) {
+                    0 => world.cut_off(Place::Core(leader), all),
+                    1 => world.cuts.extend(all.iter().map(|other| (Place::Core(leader), *other))),
+                    _ => world.cuts.extend(all.iter().map(|other| (*other, Place::Core(leader)))),
+                }
+            }
+            (1, Some(leader)) => {
+                world.kill_core(leader);
+                world.start_later(Place::Core(leader), 200.0);
+            }
+            (2, Some(leader)) => {
+                let for_ms = world.rng.f64() * 2500.0;
+                world.freeze_core(leader, for_ms);
+            }
+            (3, Some(leader)) => world.cores[leader].sync_ms = world.rng.f64() * 900.0,
+            (4, Some(leader)) => world.input(leader, simulated::Input::End),
+            (5, _) => {
+                let gateway = world.rng.usize(0..world.gateways.len());
+                world.kill_gateway(gateway);
+                world.start_later(Place::Gateway(gateway), 300.0);
+            }
+            _ => {}
+        }
+        let for_ms = world.rng.f64() * 2000.0;
+        world.pass(world.now + for_ms);
+        world.cuts.clear();
+        world.cores.iter_mut().for_each(|core| core.sync_ms = 0.5);
+    }
+    world.settle(15_000.0);
+    racers::finish(&world);
+    world
+}
+
+#[test]
+fn one_number_is_one_configuration_and_an_order_sent_again_is_not_refused() {
+    histories(6, |seed| drop(race(seed, 400)));
+}
--- a/overland/tests/simulated/callers.rs
+++ b/overland/tests/simulated/callers.rs
@@ -19,6 +19,8 @@
 pub enum Who {
     Backend(usize),
     Operator(usize),
+    /// One order under way of those that race.
+    Racer(usize),
 }
 
 /// Where a backend stands.
@@ -125,6 +127,7 @@
     match who {
         Who::Backend(place) => backend_turn(world, place),
         Who::Operator(number) => operator_turn(world, number),
+        Who::Racer(slot) => super::racers::turn(world, slot),
     }
 }
 
@@ -133,11 +136,12 @@
     match world.callers.waits.remove(&token) {
         Some(Who::Backend(place)) => backend_answered(world, place, reply),
         Some(Who::Operator(number)) => operator_answered(world, number, reply),
+        Some(Who::Racer(slot)) => super::racers::answered(world, slot, reply),
         None => {}
     }
 }
 
-fn ask(world: &mut World, who: Who, core: usize, method: &'static str, path: String, body: Vec<u8>) {
+pub fn ask(world: &mut World, who: Who, core: usize, method: &'static str, path: String, body: Vec<u8>) {
     let token = world.call(core, method, path, body);
     world.callers.waits.insert(token, who);
 }
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod callers;
 pub mod judge;
+pub mod racers;
 
 use callers::Callers;
 use judge::Judge;
@@ -176,6 +177,7 @@
     /// Calls on their way: to which core, in which of its lives.
     calls: BTreeMap<u64, (usize, u64, f64)>,
     pub callers: Callers,
+    pub racers: racers::Racers,
     pub judge: Judge,
     pub seeds: Vec<SocketAddr>,
     next: u64,
@@ -295,6 +297,7 @@
             cuts: BTreeSet::new(),
             luck: Luck { loss: 0.0, twice: 0.0, kill: 0.0, ack_loss: 0.0 },
             calls: BTreeMap::new(),
+            racers: racers::Racers::default(),
             judge: Judge::default(),
             seeds: (0..founders.min(3)).map(core_address).collect(),
             next: 0,
@@ -530,8 +533,14 @@
             let now = (self.now - core.started) * core.rate;
             let Some(member) = &mut core.running else { return };
             let mut out = Vec::new();
+            let edition = |member: &Member| member.state().config.as_ref().map_or(0, |config| config.edition);
+            let before = edition(member);
             member.handle(now, event, &mut out);
+            let new = member.state().config.clone().filter(|config| config.edition != before);
             core.doing.extend(out);
+            if let (Some(config), false) = (new, self.racers.slots.is_empty()) {
+                racers::seen(self, config.edition, &config.text);
+            }
         }
     }
 
--- /dev/null
+++ b/overland/tests/simulated/racers.rs
@@ -0,0 +1,242 @@
+//! Operators that race: up to eight orders under way at once, on the same version and under the same number, whole ones
+//! and changes of named items, invalid ones and old ones; each is sent again until it has a clear answer, to any core
+//! process and in other bytes, some once more after that. The judge's list of versions is what they are held against.
+
+use super::callers::{configuration, read_back, Who};
+use super::World;
+use overland::calls::Reply;
+use std::collections::BTreeMap;
+
+/// An order is sent again and again for so long, in ms.
+const INSIST_MS: f64 = 12_000.0;
+/// An earlier order that is sent once more is one of so many.
+const LATELY: usize = 40;
+
+/// What an operator wants of one order.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Its place in the judge's list; none for a read.
+    pub mark: Option<usize>,
+    pub edition: u64,
+    pub based_on: u64,
+    pub valid: bool,
+    pub path: &'static str,
+    /// The same in several bytes.
+    pub bodies: Vec<String>,
+}
+
+/// An order under way.
+pub struct Task {
+    order: Order,
+    first: f64,
+    asked: f64,
+    tries: u32,
+}
+
+/// A time from sending to a clear answer, and how many were under way then.
+pub struct Took {
+    pub ms: f64,
+    pub under_way: usize,
+}
+
+#[derive(Default)]
+pub struct Racers {
+    pub slots: Vec<Option<Task>>,
+    /// The newest version that any operator knows of.
+    pub known: u64,
+    /// All orders, by mark.
+    pub orders: BTreeMap<usize, Order>,
+    /// So many are still to be sent.
+    pub left: usize,
+    /// Which mark was in force at some core under each number.
+    pub seen: BTreeMap<u64, usize>,
+    /// Orders that are sent again are sent in the same bytes.
+    pub same_bytes: bool,
+    /// Parts of the kinds: fresh, changes of items, invalid, old, once more; the rest reads.
+    pub kinds: [f64; 5],
+    pub pause_ms: f64,
+    pub took: Vec<Took>,
+    /// Orders that had no clear answer in the end.
+    pub unclear: usize,
+}
+
+impl Racers {
+    pub fn new(slots: usize, orders: usize) -> Self {
+        Racers {
+            slots: (0..slots).map(|_| None).collect(),
+            left: orders,
+            kinds: [0.45, 0.17, 0.08, 0.05, 0.15],
+            pause_ms: 100.0,
+            ..Racers::default()
+        }
+    }
+
+    fn under_way(&self) -> usize {
+        self.slots.iter().flatten().filter(|task| task.order.mark.is_some()).count()
+    }
+}
+
+/// Sends all slots on their way.
+pub fn begin(world: &mut World, slots: usize, orders: usize) {
+    world.racers = Racers::new(slots, orders);
+    for slot in 0..slots {
+        let after = world.rng.f64() * 300.0;
+        world.turn(after, Who::Racer(slot));
+    }
+}
+
+fn other_bytes(body: &str) -> String {
+    // The same members in another order, with blanks.
+    let (first, rest) = body[1..body.len() - 1].split_once(',').expect("several members");
+    format!("{{ {rest} ,\n {first} }}")
+}
+
+fn patch(edition: u64, based_on: u64, mark: usize) -> String {
+    format!(
+        r#"{{"edition":"r{edition}","deliver":{{"patrons":[{{"name":"t","stamps":["k{mark}"],"priority":0,"per_s":10,"burst":10,"home_regions":[]}}]}},"withdraw":{{"routes":["no-such-route"]}},"based_on":"r{based_on}"}}"#
+    )
+}
+
+/// What the next order is.
+fn wish(world: &mut World) -> Order {
+    let (now, chance, known) = (world.now, world.rng.f64(), world.racers.known);
+    let step = world.rng.u64(1..3);
+    let [fresh, items, invalid, old, again] = world.racers.kinds;
+    let mut upto = 0.0;
+    let mut is = |part: f64| {
+        upto += part;
+        chance < upto
+    };
+    let put = |world: &mut World, edition: u64, based_on: u64| {
+        let mark = world.judge.version(now, edition, based_on);
+        let body = configuration(edition, based_on, mark as u64);
+        let bodies = vec![other_bytes(&body), body];
+        Order { mark: Some(mark), edition, based_on, valid: true, path: "/api/Config.Put", bodies }
+    };
+    let order = if known == 0 || is(fresh) {
+        put(world, known + step, known)
+    } else if is(items) {
+        let mark = world.judge.version(now, known + step, known);
+        let body = patch(known + step, known, mark);
+        let bodies = vec![other_bytes(&body), body];
+        let (edition, path) = (known + step, "/api/Config.Patch");
+        Order { mark: Some(mark), edition, based_on: known, valid: true, path, bodies }
+    } else if is(invalid) {
+        // Under a number that is free, or taken.
+        let edition = if world.rng.bool() { known } else { known + step };
+        let mark = world.judge.version(now, edition, known);
+        let body =
+            configuration(edition, known, mark as u64).replace("\"service\":\"s\"", "\"service\":\"x\"");
+        let (path, bodies) = ("/api/Config.Put", vec![body]);
+        Order { mark: Some(mark), edition, based_on: known, valid: false, path, bodies }
+    } else if is(old) {
+        let back = world.rng.u64(1..5).min(known);
+        put(world, known + step, known - back)
+    } else if is(again) {
+        let marks: Vec<_> = world.racers.orders.keys().rev().take(LATELY).copied().collect();
+        world.racers.orders[&marks[world.rng.usize(0..marks.len())]].clone()
+    } else {
+        let (path, bodies) = ("/api/Config.Get", vec![String::new()]);
+        Order { mark: None, edition: 0, based_on: 0, valid: true, path, bodies }
+    };
+    if let Some(mark) = order.mark {
+        world.racers.orders.entry(mark).or_insert_with(|| order.clone());
+    }
+    order
+}
+
+pub fn turn(world: &mut World, slot: usize) {
+    let now = world.now;
+    if world.racers.slots[slot].is_none() {
+        if world.racers.left == 0 || !world.callers.wishes {
+            return;
+        }
+        world.racers.left -= 1;
+        let order = wish(world);
+        world.racers.slots[slot] = Some(Task { order, first: now, asked: now, tries: 0 });
+    }
+    let core = world.rng.usize(0..world.cores.len());
+    let which = if world.racers.same_bytes { 0 } else { world.rng.usize(0..2) };
+    let Some(task) = &mut world.racers.slots[slot] else { return };
+    (task.tries, task.asked) = (task.tries + 1, now);
+    let body = task.order.bodies[which.min(task.order.bodies.len() - 1)].clone().into_bytes();
+    let (method, path) = (if task.order.mark.is_some() { "POST" } else { "GET" }, task.order.path.to_owned());
+    super::callers::ask(world, Who::Racer(slot), core, method, path, body);
+}
+
+pub fn answered(world: &mut World, slot: usize, reply: Option<Reply>) {
+    let now = world.now;
+    let Some(task) = world.racers.slots[slot].take() else { return };
+    let Task { order, first, asked, tries } = task;
+    let status = reply.as_ref().map_or(0, |reply| reply.status);
+    let clear = match (status, order.mark) {
+        (200, Some(mark)) => {
+            assert!(order.valid, "mark {mark} is not valid, and was acknowledged");
+            let edition = world.judge.taken(now, mark);
+            world.racers.known = world.racers.known.max(edition);
+            let under_way = world.racers.under_way() + 1;
+            world.racers.took.push(Took { ms: now - first, under_way });
+            true
+        }
+        (200, None) => {
+            let read = reply.as_ref().and_then(|reply| read_back(&reply.body));
+            let (edition, mark) = read.expect("a configuration");
+            world.judge.read(asked, edition, mark);
+            world.racers.known = world.racers.known.max(edition);
+            true
+        }
+        (400..=499, Some(mark)) => {
+            world.judge.refused(mark);
+            true
+        }
+        _ => false,
+    };
+    if !clear && now - first < INSIST_MS {
+        world.racers.slots[slot] = Some(Task { order, first, asked, tries });
+        return world.turn(20.0 * f64::from(tries.min(10)), Who::Racer(slot));
+    }
+    world.racers.unclear += usize::from(!clear);
+    // Who was refused finds out what is in place.
+    if status >= 400 && world.judge.any_taken() {
+        let (path, bodies) = ("/api/Config.Get", vec![String::new()]);
+        let order = Order { mark: None, edition: 0, based_on: 0, valid: true, path, bodies };
+        world.racers.slots[slot] = Some(Task { order, first: now, asked: now, tries: 0 });
+    }
+    let pause = world.racers.pause_ms * world.rng.f64();
+    world.turn(pause, Who::Racer(slot));
+}
+
+/// A core holds this configuration now.
+pub fn seen(world: &mut World, edition: u64, text: &str) {
+    let (read, mark) = read_back(text).expect("a configuration");
+    assert_eq!(read, edition);
+    let was = *world.racers.seen.entry(edition).or_insert(mark);
+    assert_eq!(was, mark, "r{edition} is mark {was} at one core and mark {mark} at another");
+    assert!(!world.judge.versions[mark].refused, "r{edition} (mark {mark}) is in force, and was refused");
+    assert!(world.racers.orders[&mark].valid, "r{edition} (mark {mark}) is in force, and not valid");
+}
+
+/// Calm has come: what was acknowledged is one list, each on top of the one before, and the end of it is in force.
+pub fn finish(world: &World) {
+    let leader = world.leader().expect("somebody leads");
+    let state = world.cores[leader].running.as_ref().expect("it runs").state();
+    let Some(config) = &state.config else { return };
+    let (mut edition, mut mark) = read_back(&config.text).expect("a configuration");
+    let mut list = std::collections::BTreeSet::new();
+    while edition > 0 {
+        list.insert(mark);
+        edition = world.judge.versions[mark].based_on;
+        let of = |mark: &usize| world.judge.versions[*mark].edition == edition;
+        let acknowledged =
+            (0..world.judge.versions.len()).filter(of).find(|m| world.judge.versions[*m].taken.is_some());
+        match acknowledged.or(world.racers.seen.get(&edition).copied()) {
+            Some(next) => mark = next,
+            // Two were applied at one moment, and the first had no answer: what it was can't be told.
+            None => break,
+        }
+    }
+    for (mark, version) in world.judge.versions.iter().enumerate() {
+        let gone = version.taken.is_some() && version.edition > edition && !list.contains(&mark);
+        assert!(!gone, "r{} (mark {mark}) was acknowledged, and is not among the versions", version.edition);
+    }
+}
