Keep links to all members for as long as they are members

Cause: members are told in the first answer on a link and where they change; an agent let go of a core process 30 s after it was last told of it, so that a member that is no seed was forgotten when its link next ended.

Ruled out: the order of words on links; the push of changes (the leader had no link of this gateway).

Change: an agent remembers the members that it was last told, and wants links to these.

Seen failing before: `a_member_that_is_no_seed_is_wanted_for_as_long_as_it_is_one`.

--- a/overland/src/follow.rs
+++ b/overland/src/follow.rs
@@ -92,6 +92,8 @@
     proxy: Option<(u64, FromProxy)>,
     /// Core processes by control address, and when each was last known to be one.
     cores: BTreeMap<String, Millis>,
+    /// The members of the core, as they were last told: they are told again only where they have changed.
+    members: Vec<String>,
     links: BTreeMap<String, Link>,
     /// Who leads, and in which term.
     leader: Option<(String, u64)>,
@@ -112,6 +114,7 @@
             differs: false,
             proxy: None,
             cores: BTreeMap::new(),
+            members: Vec::new(),
             links: BTreeMap::new(),
             leader: None,
             fresh: None,
@@ -128,7 +131,8 @@
     /// Whether a link to this core process is wanted.
     pub fn wants(&mut self, now: Millis, core: &str) -> bool {
         let known = self.cores.get(core).is_some_and(|at| now - at <= LET_GO_MS);
-        let wanted = known || self.seeds.iter().any(|seed| seed == core);
+        let named = self.members.iter().chain(&self.seeds).any(|name| name == core);
+        let wanted = known || named;
         if !wanted {
             self.cores.remove(core);
         }
@@ -276,8 +280,11 @@
     /// A core process answered a word. True if there is something to tell.
     fn pulse(&mut self, now: Millis, core: &str, pulse: Pulse, out: &mut Vec<Action>) -> bool {
         let Pulse { at, leads, term, index, members, digest } = pulse;
-        for member in members {
-            self.know(now, member, out);
+        for member in &members {
+            self.know(now, member.clone(), out);
+        }
+        if !members.is_empty() {
+            self.members = members;
         }
         if !leads {
             return false;
--- a/overland/tests/orders.rs
+++ b/overland/tests/orders.rs
@@ -3,6 +3,8 @@
 
 mod simulated;
 
+use overland::follow::{self, Follow};
+use overland::news::{Pulse, ToAgent};
 use simulated::{racers, Place, World};
 
 /// Plays drawn histories, and tells the seed of one that fails.
@@ -23,7 +25,6 @@
     let mut world = World::new(seed, [3, 5][seed as usize % 2], 0, 4, 0, 0);
     world.begin();
     racers::begin(&mut world, 8, orders);
-    world.racers.same_bytes = std::env::var("SAME").is_ok();
     world.luck.ack_loss = world.rng.f64() * 0.5;
     let most = world.rng.f64();
     for _ in 0..400 {
@@ -73,3 +74,24 @@
 fn one_number_is_one_configuration_and_an_order_sent_again_is_not_refused() {
     histories(6, |seed| drop(race(seed, 400)));
 }
+
+/// History 1329 of the above: a core process that is no seed led, and a gateway had let go of it.
+#[test]
+fn a_member_that_is_no_seed_is_wanted_for_as_long_as_it_is_one() {
+    let seeds = vec![simulated::core_address(0)];
+    let (member, mut out) = (simulated::core_address(4).to_string(), Vec::new());
+    let mut agent = Follow::new(&simulated::settings("g".into(), None, seeds.clone(), false), 0.0, &mut out);
+    let seed = seeds[0].to_string();
+    agent.handle(0.0, follow::Event::Open(seed.clone()), &mut out);
+    let told = |members: Vec<String>| {
+        let pulse = Some(Pulse { leads: true, term: 1, members, ..Pulse::default() });
+        follow::Event::Said { core: seed.clone(), news: Box::new(ToAgent { pulse, ..ToAgent::default() }) }
+    };
+    agent.handle(0.0, told(vec![seed.clone(), member.clone()]), &mut out);
+    // Members are told again only where they have changed.
+    agent.handle(60_000.0, told(Vec::new()), &mut out);
+    agent.handle(60_000.0, follow::Event::Closed(member.clone()), &mut out);
+    assert!(agent.wants(60_000.0, &member));
+    agent.handle(60_000.0, told(vec![seed.clone()]), &mut out);
+    assert!(!agent.wants(120_000.0, &member));
+}
