Refuse a call that was passed on and was on its way for too long

Cause: what was sent again has no number by which a late copy could be told from a new order, and the leader did not know how long a call had been on its way.

Change: with a call goes when the leader said what the follower last heard of it, by the leader's own clock, and in which term. Where that is 0.7 s ago, or another term's, the call is refused with 503: its caller has had that answer before.

`Forwarded` has two fields more; what comes without them is taken as before.

--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -147,6 +147,8 @@
     role: Role,
     /// When a leader was last heard of.
     heard: Millis,
+    /// When the leader said what was last heard of it, by the leader's own clock.
+    said: Millis,
     /// When it wants to lead if none is heard of.
     election: Millis,
     /// Before that it votes for nobody.
@@ -178,6 +180,7 @@
             log: entries.into(),
             role: Role::Follower(Follow { leader: None }),
             heard: f64::NEG_INFINITY,
+            said: 0.0,
             // Whoever leads is asked first whether it does: nobody votes for another while it is heard.
             election: now + START_MS * (1.0 + rng.f64()),
             forgotten_until: if empty { now + FORGOTTEN_MS } else { now },
@@ -199,6 +202,12 @@
         }
     }
 
+    /// When the leader said what was last heard of it, by the leader's own clock: what is told it with this is that young at
+    /// most.
+    pub fn leader_said(&self) -> Millis {
+        self.said
+    }
+
     /// Whether it leads.
     pub fn leads(&self) -> bool {
         matches!(self.role, Role::Leader(_))
@@ -441,6 +450,7 @@
             return;
         }
         self.follow(now, append.term, Some(from.clone()), actions);
+        self.said = append.at;
         answer.term = self.vow.term;
         let (mut prev, mut entries) = (append.prev, append.entries);
         if prev < self.base.index {
--- a/overland/src/agreement/snapshot.rs
+++ b/overland/src/agreement/snapshot.rs
@@ -39,6 +39,7 @@
         };
         if install.term >= self.vow.term {
             self.follow(now, install.term, Some(from.clone()), actions);
+            self.said = install.at;
             let Install { index, last_term, members, state, .. } = install;
             if index > self.commit && self.term_at(index) == Some(last_term) {
                 // It has all that is in the state. What it holds behind that it may have answered for.
--- a/overland/src/member/joining.rs
+++ b/overland/src/member/joining.rs
@@ -14,6 +14,9 @@
     number: u64,
 }
 
+/// A call that was passed on is refused when it may have been on its way for so long, in ms. It is counted from a word of the
+/// leader that comes each 100 ms and takes 55 between regions; callers wait a second before they send it again.
+const ON_ITS_WAY_MS: Millis = 700.0;
 /// When a caller may come back whom the leader refused, in ms.
 const LATER_MS: u64 = 200;
 
@@ -75,7 +78,8 @@
         let number = self.number;
         self.number = number.wrapping_add(1);
         let path = format!("{} {}", called.method, called.path);
-        let call = Forwarded { number, path, body: called.body.to_vec(), status: 0 };
+        let (term, said) = (self.agreement.term(), self.agreement.leader_said());
+        let call = Forwarded { number, path, body: called.body.to_vec(), status: 0, term, said };
         self.tell(&to, Word::Call(call), out);
         let (granted, until) = (Refusal::Later.reply(), now + CALL_MS);
         let stage = Stage::Passed(Passed { to, number });
@@ -86,6 +90,11 @@
     fn passed_on(&mut self, now: Millis, from: Name, call: &Forwarded, out: &mut Vec<Action>) {
         let Some((method, path)) = call.path.split_once(' ') else { return };
         let caller = Caller::Member(from, call.number);
+        // What a caller has given up and sent again must not take effect once more, over what came after it.
+        let late = call.term != self.agreement.term() || now - call.said > ON_ITS_WAY_MS;
+        if call.term > 0 && late {
+            return self.refuse(&caller, &Refusal::Later, out);
+        }
         self.called(now, caller, &Called { method, path, body: &call.body }, out);
     }
 
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -540,7 +540,7 @@
             Caller::Outside(call) => out.push(Action::Answer { call: *call, reply }),
             Caller::Member(name, number) => {
                 let (body, status) = (reply.body.into_bytes(), u32::from(reply.status));
-                let answer = Forwarded { number: *number, path: String::new(), body, status };
+                let answer = Forwarded { number: *number, body, status, ..Forwarded::default() };
                 self.tell(name, Word::Answer(answer), out);
             }
         }
--- a/overland/src/news.rs
+++ b/overland/src/news.rs
@@ -476,4 +476,10 @@
     /// The answer's status.
     #[prost(uint32, tag = "4")]
     pub status: u32,
+    /// Of a call: the leader's term; nought from earlier programs.
+    #[prost(uint64, tag = "5")]
+    pub term: u64,
+    /// Of a call: when the leader said what was last heard of it, by its own clock, in ms. The call is no older than that.
+    #[prost(double, tag = "6")]
+    pub said: f64,
 }
--- a/overland/tests/orders.rs
+++ b/overland/tests/orders.rs
@@ -20,19 +20,16 @@
     }
 }
 
-/// Orders race while letters and answers are lost, leaders are cut off, killed and stand still, and disks are slow.
-fn race(seed: u64, orders: usize) -> World {
-    let mut world = World::new(seed, [3, 5][seed as usize % 2], 0, 4, 0, 0);
-    world.begin();
-    racers::begin(&mut world, 8, orders);
-    world.luck.ack_loss = world.rng.f64() * 0.5;
+/// Leaders are cut off, killed, stand still and end, disks are slow, gateways come and go, letters are lost, until all
+/// orders are sent; then calm comes.
+fn trouble(world: &mut World, longest: f64, twice: f64) {
     let most = world.rng.f64();
     for _ in 0..400 {
         if world.racers.left == 0 {
             break;
         }
         world.luck.loss = if world.rng.bool() { 0.0 } else { world.rng.f64() * 0.6 * most };
-        world.luck.twice = world.rng.f64() * 0.2 * most;
+        world.luck.twice = world.rng.f64() * twice * most;
         let leader = world.leader();
         match (world.rng.u32(0..12), leader) {
             (0, Some(leader)) => {
@@ -60,19 +57,45 @@
             }
             _ => {}
         }
-        let for_ms = world.rng.f64() * 2000.0;
+        let for_ms = world.rng.f64() * longest;
         world.pass(world.now + for_ms);
         world.cuts.clear();
         world.cores.iter_mut().for_each(|core| core.sync_ms = 0.5);
     }
     world.settle(15_000.0);
-    racers::finish(&world);
+    racers::finish(world);
+    racers::finish_zones(world);
+}
+
+/// Orders race while all that goes on.
+fn race(seed: u64, slots: usize, orders: usize) -> World {
+    let mut world = World::new(seed, [3, 5][seed as usize % 2], 0, 4, 0, 0);
+    world.begin();
+    racers::begin(&mut world, slots, orders);
+    world.luck.ack_loss = world.rng.f64() * 0.5;
+    trouble(&mut world, 2000.0, 0.2);
     world
 }
 
 #[test]
 fn one_number_is_one_configuration_and_an_order_sent_again_is_not_refused() {
-    histories(6, |seed| drop(race(seed, 400)));
+    histories(6, |seed| drop(race(seed, 8, 400)));
+}
+
+/// A zone is emptied and taken back by turns: each order is sent again until it is acknowledged, and none takes effect
+/// once more after the next one was acknowledged.
+#[test]
+fn zones_are_as_they_were_last_acknowledged() {
+    histories(60, |seed| {
+        let mut world = World::new(seed, 3, 0, 2, 0, 0);
+        world.begin();
+        racers::begin(&mut world, 1, 12);
+        world.racers.kinds = [0.0, 0.0, 0.0, 0.0, 0.0, 1.0];
+        world.luck.ack_loss = world.rng.f64() * 0.5;
+        world.pass(3000.0);
+        // Links lose what is on them, and double nothing: an order without a number can't be told from its double.
+        trouble(&mut world, 4000.0, 0.0);
+    });
 }
 
 /// History 1329 of the above: a core process that is no seed led, and a gateway had let go of it.
--- a/overland/tests/simulated/racers.rs
+++ b/overland/tests/simulated/racers.rs
@@ -20,9 +20,20 @@
     pub edition: u64,
     pub based_on: u64,
     pub valid: bool,
-    pub path: &'static str,
+    pub path: String,
     /// The same in several bytes.
     pub bodies: Vec<String>,
+    /// Its place in the list of zones' orders.
+    pub zone: Option<usize>,
+}
+
+/// An order that empties a zone or takes it back.
+pub struct ZoneOrder {
+    pub zone: usize,
+    pub on: bool,
+    pub sent: f64,
+    /// When it was acknowledged.
+    pub taken: Option<f64>,
 }
 
 /// An order under way.
@@ -52,8 +63,10 @@
     pub seen: BTreeMap<u64, usize>,
     /// Orders that are sent again are sent in the same bytes.
     pub same_bytes: bool,
-    /// Parts of the kinds: fresh, changes of items, invalid, old, once more; the rest reads.
-    pub kinds: [f64; 5],
+    /// Parts of the kinds: fresh, changes of items, invalid, old, once more, zones; the rest reads.
+    pub kinds: [f64; 6],
+    /// Orders that empty zones or take them back.
+    pub zones: Vec<ZoneOrder>,
     pub pause_ms: f64,
     pub took: Vec<Took>,
     /// Orders that had no clear answer in the end.
@@ -65,7 +78,7 @@
         Racers {
             slots: (0..slots).map(|_| None).collect(),
             left: orders,
-            kinds: [0.45, 0.17, 0.08, 0.05, 0.15],
+            kinds: [0.42, 0.16, 0.07, 0.05, 0.14, 0.1],
             pause_ms: 100.0,
             ..Racers::default()
         }
@@ -97,47 +110,58 @@
     )
 }
 
+fn order(mark: usize, edition: u64, based_on: u64, path: &str, body: String) -> Order {
+    let bodies = vec![other_bytes(&body), body];
+    Order { mark: Some(mark), edition, based_on, valid: true, path: path.to_owned(), bodies, zone: None }
+}
+
+fn put(world: &mut World, edition: u64, based_on: u64) -> Order {
+    let mark = world.judge.version(world.now, edition, based_on);
+    order(mark, edition, based_on, "/api/Config.Put", configuration(edition, based_on, mark as u64))
+}
+
+fn read() -> Order {
+    let (path, bodies) = ("/api/Config.Get".to_owned(), vec![String::new()]);
+    Order { mark: None, edition: 0, based_on: 0, valid: true, path, bodies, zone: None }
+}
+
 /// What the next order is.
 fn wish(world: &mut World) -> Order {
-    let (now, chance, known) = (world.now, world.rng.f64(), world.racers.known);
+    let (chance, known) = (world.rng.f64(), world.racers.known);
     let step = world.rng.u64(1..3);
-    let [fresh, items, invalid, old, again] = world.racers.kinds;
+    let [fresh, items, invalid, old, again, zone] = world.racers.kinds;
     let mut upto = 0.0;
     let mut is = |part: f64| {
         upto += part;
         chance < upto
     };
-    let put = |world: &mut World, edition: u64, based_on: u64| {
-        let mark = world.judge.version(now, edition, based_on);
-        let body = configuration(edition, based_on, mark as u64);
-        let bodies = vec![other_bytes(&body), body];
-        Order { mark: Some(mark), edition, based_on, valid: true, path: "/api/Config.Put", bodies }
-    };
-    let order = if known == 0 || is(fresh) {
+    let first = known == 0 && fresh > 0.0 && (world.racers.orders.is_empty() || world.rng.bool());
+    let order = if first || is(fresh) {
         put(world, known + step, known)
-    } else if is(items) {
-        let mark = world.judge.version(now, known + step, known);
-        let body = patch(known + step, known, mark);
-        let bodies = vec![other_bytes(&body), body];
-        let (edition, path) = (known + step, "/api/Config.Patch");
-        Order { mark: Some(mark), edition, based_on: known, valid: true, path, bodies }
+    } else if known > 0 && is(items) {
+        let mark = world.judge.version(world.now, known + step, known);
+        order(mark, known + step, known, "/api/Config.Patch", patch(known + step, known, mark))
     } else if is(invalid) {
         // Under a number that is free, or taken.
         let edition = if world.rng.bool() { known } else { known + step };
-        let mark = world.judge.version(now, edition, known);
-        let body =
-            configuration(edition, known, mark as u64).replace("\"service\":\"s\"", "\"service\":\"x\"");
-        let (path, bodies) = ("/api/Config.Put", vec![body]);
-        Order { mark: Some(mark), edition, based_on: known, valid: false, path, bodies }
+        let mut order = put(world, edition, known);
+        for body in &mut order.bodies {
+            *body = body.replace("\"service\":\"s\"", "\"service\":\"x\"");
+        }
+        Order { valid: false, ..order }
     } else if is(old) {
         let back = world.rng.u64(1..5).min(known);
         put(world, known + step, known - back)
-    } else if is(again) {
+    } else if (known == 0 && fresh > 0.0) || is(again) {
         let marks: Vec<_> = world.racers.orders.keys().rev().take(LATELY).copied().collect();
         world.racers.orders[&marks[world.rng.usize(0..marks.len())]].clone()
+    } else if is(zone) {
+        let (zone, on) = (world.rng.usize(0..2), world.rng.bool());
+        world.racers.zones.push(ZoneOrder { zone, on, sent: world.now, taken: None });
+        let path = format!("/api/Evacuate.{}/z{zone}", if on { "Start" } else { "End" });
+        Order { path, zone: Some(world.racers.zones.len() - 1), ..read() }
     } else {
-        let (path, bodies) = ("/api/Config.Get", vec![String::new()]);
-        Order { mark: None, edition: 0, based_on: 0, valid: true, path, bodies }
+        read()
     };
     if let Some(mark) = order.mark {
         world.racers.orders.entry(mark).or_insert_with(|| order.clone());
@@ -160,7 +184,8 @@
     let Some(task) = &mut world.racers.slots[slot] else { return };
     (task.tries, task.asked) = (task.tries + 1, now);
     let body = task.order.bodies[which.min(task.order.bodies.len() - 1)].clone().into_bytes();
-    let (method, path) = (if task.order.mark.is_some() { "POST" } else { "GET" }, task.order.path.to_owned());
+    let reads = task.order.mark.is_none() && task.order.zone.is_none();
+    let (method, path) = (if reads { "GET" } else { "POST" }, task.order.path.clone());
     super::callers::ask(world, Who::Racer(slot), core, method, path, body);
 }
 
@@ -178,6 +203,11 @@
             world.racers.took.push(Took { ms: now - first, under_way });
             true
         }
+        (200, None) if order.zone.is_some() => {
+            let zone = &mut world.racers.zones[order.zone.unwrap_or(0)];
+            zone.taken.get_or_insert(now);
+            true
+        }
         (200, None) => {
             let read = reply.as_ref().and_then(|reply| read_back(&reply.body));
             let (edition, mark) = read.expect("a configuration");
@@ -198,9 +228,7 @@
     world.racers.unclear += usize::from(!clear);
     // Who was refused finds out what is in place.
     if status >= 400 && world.judge.any_taken() {
-        let (path, bodies) = ("/api/Config.Get", vec![String::new()]);
-        let order = Order { mark: None, edition: 0, based_on: 0, valid: true, path, bodies };
-        world.racers.slots[slot] = Some(Task { order, first: now, asked: now, tries: 0 });
+        world.racers.slots[slot] = Some(Task { order: read(), first: now, asked: now, tries: 0 });
     }
     let pause = world.racers.pause_ms * world.rng.f64();
     world.turn(pause, Who::Racer(slot));
@@ -240,3 +268,23 @@
         assert!(!gone, "r{} (mark {mark}) was acknowledged, and is not among the versions", version.edition);
     }
 }
+
+/// Calm has come: each zone is as an order left it that may have been the last, by when each was sent and acknowledged.
+pub fn finish_zones(world: &World) {
+    let leader = world.leader().expect("somebody leads");
+    let state = world.cores[leader].running.as_ref().expect("it runs").state();
+    for zone in 0..2 {
+        let on = state.evacuated.contains(&format!("z{zone}"));
+        let of_zone = || world.racers.zones.iter().filter(move |order| order.zone == zone);
+        let ends = of_zone().filter(|order| order.on == on).map(|order| order.taken.unwrap_or(f64::INFINITY));
+        // Nothing is emptied at first.
+        let last = ends.fold(if on { f64::NEG_INFINITY } else { 0.0 }, f64::max);
+        let undone = of_zone().find(|order| order.on != on && order.taken.is_some() && order.sent > last);
+        if let Some(order) = undone {
+            panic!(
+                "zone {zone}: emptied is {on}, by {last:.0}; the other was sent at {:.0} and acknowledged",
+                order.sent
+            );
+        }
+    }
+}
