Take no change of the configuration before the last one that was proposed is agreed on

Cause: an order waits for its turn and for force within its caller's 850 ms; one whose turn came late was let go with its change under way, and the next was taken on top of the state without it. Ruled out: two leaders (one term throughout), digests that collide, repeated letters. Tests of overland pass.

--- a/overland/src/member/orders.rs
+++ b/overland/src/member/orders.rs
@@ -12,6 +12,9 @@
 pub(super) struct Turn {
     now: Option<Caller>,
     then: VecDeque<Caller>,
+    /// The term and number of the last change that was taken. Its caller may be let go before it is agreed on: what comes
+    /// next builds on it all the same.
+    taken: (u64, u64),
 }
 
 impl Turn {
@@ -79,6 +82,9 @@
 impl Member {
     /// Those whose turn it is are looked at, until one of them waits for something.
     pub(super) fn take_turns(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if self.turn.taken.0 == self.agreement.term() && self.agreement.applied() < self.turn.taken.1 {
+            return;
+        }
         while let Some(caller) = self.turn.next() {
             let Some(waiting) = self.calls.get_mut(&caller) else {
                 self.turn.leave(&caller);
@@ -89,7 +95,11 @@
                 continue;
             };
             match self.take(now, order) {
-                Ok(Some(kind)) => self.next.push_back(Next::Propose(kind, Some(caller))),
+                Ok(Some(kind)) => {
+                    // Nothing comes before it: it is the next entry.
+                    self.turn.taken = (self.agreement.term(), self.agreement.last() + 1);
+                    self.next.push_back(Next::Propose(kind, Some(caller)));
+                }
                 Ok(None) => {
                     self.become_stage(&caller, Stage::Enforcing { index: self.state.index });
                     self.enforce(now, out);
