Answer for all only while a majority is in reach, and let calls go at once where it is not

Need: a leader cut off from its peers acknowledged beats that said nothing new and ends of unknown backends by its own belief, and kept orders and calls that were passed to it for their whole 850 ms; a follower cut off did so, too. Ruled out: redirects to who leads: who is cut off does not know. Change: every call that the leader answers asks first whether a majority has answered it within the lease; at each tick a leader without one refuses what it has in hand (503), and a follower what it passed to a leader that it has not heard for 400 ms or follows no more; it passes nothing on to one either.

--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -197,6 +197,11 @@
         }
     }
 
+    /// When a leader was last heard of.
+    pub fn heard(&self) -> Millis {
+        self.heard
+    }
+
     /// Whether it leads.
     pub fn leads(&self) -> bool {
         matches!(self.role, Role::Leader(_))
--- a/overland/src/calls.rs
+++ b/overland/src/calls.rs
@@ -102,6 +102,9 @@
 
     /// Whether it leads.
     fn leads(&self) -> bool;
+
+    /// Whether it may answer for all: it leads, and a majority has said so lately.
+    fn vouches(&self, now: Millis) -> bool;
 }
 
 /// Whoever answers calls of one kind.
@@ -128,6 +131,10 @@
     if C::LEADER && !to.leads() {
         return Served::Elsewhere;
     }
+    if C::LEADER && !to.vouches(now) {
+        // Another may lead by now, and have been told more.
+        return Served::Now(Refusal::Later.reply());
+    }
     let query = called.path.split_once('?').map_or("", |(_, query)| query);
     let granted =
         |answer: &C::Answer| Reply { status: 200, body: miniserde::json::to_string(answer), after_ms: None };
--- a/overland/src/member/joining.rs
+++ b/overland/src/member/joining.rs
@@ -14,6 +14,16 @@
     number: u64,
 }
 
+impl Passed {
+    /// To whom.
+    pub(super) fn to(&self) -> &Name {
+        &self.to
+    }
+}
+
+/// A leader that said nothing for so long, in ms, is asked nothing: it speaks up each 100 ms, and its letters may be sent
+/// again once. Others want to lead after 700.
+const SILENT_MS: Millis = 400.0;
 /// When a caller may come back whom the leader refused, in ms.
 const LATER_MS: u64 = 200;
 
@@ -69,7 +79,8 @@
 
     /// Has a call answered by who leads.
     pub(super) fn pass_on(&mut self, now: Millis, caller: Caller, called: &Called, out: &mut Vec<Action>) {
-        let leader = self.agreement.leader().cloned().filter(|_| matches!(caller, Caller::Outside(_)));
+        let leader = self.agreement.leader().filter(|leader| self.hears_leader(now, leader));
+        let leader = leader.cloned().filter(|_| matches!(caller, Caller::Outside(_)));
         // Whoever was passed a call and does not lead either passes it to nobody.
         let Some(to) = leader else { return self.refuse(&caller, &Refusal::Later, out) };
         let number = self.number;
@@ -82,6 +93,11 @@
         self.calls.insert(caller, Waiting { granted, until, stage });
     }
 
+    /// Whether it follows this one, and hears it.
+    pub(super) fn hears_leader(&self, now: Millis, leader: &Name) -> bool {
+        self.agreement.leader() == Some(leader) && now - self.agreement.heard() < SILENT_MS
+    }
+
     /// A call that another core process passed on.
     fn passed_on(&mut self, now: Millis, from: Name, call: &Forwarded, out: &mut Vec<Action>) {
         let Some((method, path)) = call.path.split_once(' ') else { return };
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -323,12 +323,22 @@
         if self.ticks.is_multiple_of(COMPARE_TICKS) && self.leads() {
             self.compare(out);
         }
-        let late: Vec<_> =
-            self.calls.iter().filter(|(_, w)| now > w.until).map(|(caller, _)| caller.clone()).collect();
-        for caller in late {
+        self.let_late_go(now, out);
+        self.enforce(now, out);
+    }
+
+    /// Calls whose time is over, and those that this process can do nothing for: who leads and is cut off from a majority
+    /// vouches for nothing, and who was passed a call and fell silent answers none. Another can, or the same one later.
+    fn let_late_go(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let vouches = self.vouches(now);
+        let hopeless = |waiting: &Waiting| match &waiting.stage {
+            Stage::Passed(passed) => !self.hears_leader(now, passed.to()),
+            _ => !vouches,
+        };
+        let late = self.calls.iter().filter(|(_, w)| now > w.until || hopeless(w));
+        for caller in late.map(|(caller, _)| caller.clone()).collect::<Vec<_>>() {
             self.refuse(&caller, &Refusal::Later, out);
         }
-        self.enforce(now, out);
     }
 
     /// What is done now and then.
@@ -560,3 +570,7 @@
 fn change_in(entry: &Entry) -> Option<Change> {
     Change::decode(&entry.data[..]).ok().filter(|_| !entry.data.is_empty())
 }
+
+    fn vouches(&self, now: Millis) -> bool {
+        self.agreement.vouches(now)
+    }
