Write no answer that was decided before the process stood still, and take no call that may have waited meanwhile

Cause: a decision holds for the lease at its moment, and was carried out whenever the process went on; calls have no age. Ruled out: two leaders in one term; orders of other operators (each empties a zone of its own). Change: Action::fenced turns an answer into 503 where it is carried out 100 ms after it was decided: 550 ms of lease and this are less than the 700 ms in which none else leads; the driver asks again where the answer leaves its task. A member that was told of no time for 300 ms refuses calls until 100 ms after its first tick: what waited in its sockets is read by then.

--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -1,9 +1,9 @@
 //! The sockets, the clock and the disk of a core process. What it decides is [`Member`]'s.
 
 use crate::agreement::Name;
-use crate::calls::Reply;
+use crate::calls::{Refusal, Reply};
 use crate::link::{self, Incoming, Outgoing};
-use crate::member::{Action, Event, Member, TICK_MS};
+use crate::member::{Action, Event, Member, TICK_MS, WRITTEN_MS};
 use crate::news::{Charges, CoreWord, FromAgent, Hello, Purpose, Word};
 use crate::settings::{Settings, Watch};
 use crate::store::Store;
@@ -48,7 +48,7 @@
     /// Links to agents and proxies by number.
     links: RefCell<BTreeMap<u64, Outgoing>>,
     /// Calls in hand by number.
-    calls: RefCell<BTreeMap<u64, oneshot::Sender<Reply>>>,
+    calls: RefCell<BTreeMap<u64, oneshot::Sender<(Millis, Reply)>>>,
     peers: RefCell<BTreeMap<Name, Outgoing>>,
     next: Cell<u64>,
     /// It has ended: what is dropped after that tells nobody.
@@ -123,9 +123,10 @@
         let mut next = Some(event).filter(|_| !self.ended.get());
         while let Some(event) = next.take() {
             let mut actions = Vec::new();
-            self.member.borrow_mut().handle(self.now(), event, &mut actions);
+            let decided = self.now();
+            self.member.borrow_mut().handle(decided, event, &mut actions);
             for action in actions {
-                next = self.act(action).or(next);
+                next = self.act(action.fenced(decided, self.now())).or(next);
             }
         }
     }
@@ -150,7 +151,7 @@
             Action::Answer { call, reply } => {
                 if let Some(to) = self.calls.borrow_mut().remove(&call) {
                     // A caller that broke off is its own affair.
-                    let _ = to.send(reply);
+                    let _ = to.send((self.now(), reply));
                 }
             }
             Action::Say { link, news } => self.say(link, &*news),
@@ -294,8 +295,11 @@
         self.step(Event::Called { call, method: method.to_owned(), path: path.to_owned(), body });
         let reply = answer.await;
         drop(waits);
-        // The member answers each call.
-        reply.unwrap_or(Reply { status: 503, body: "{}".into(), after_ms: None })
+        // The member answers each call. Between its word and here the process may have stood still.
+        match reply {
+            Ok((decided, reply)) if reply.status >= 500 || self.now() - decided <= WRITTEN_MS => reply,
+            _ => Refusal::Later.reply(),
+        }
     }
 }
 
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -35,6 +35,11 @@
 pub const TICK_MS: Millis = 25.0;
 /// A caller waits a second for an answer; it has one before that, in ms.
 pub const CALL_MS: Millis = 850.0;
+/// A process that was told of no time for so long stood still, in ms: what comes in then may be as old. Callers wait a
+/// second; a busy machine keeps a process from its processor for some hundred.
+const STOOD_STILL_MS: Millis = 300.0;
+/// All that waited in sockets is read within so long after that, in ms.
+const WAKES_MS: Millis = 100.0;
 /// Log entries before the state takes their place.
 const LOG_MOST: usize = 512;
 /// A leader with a slow disk hands over no more often, in ms: with all disks slow there is nobody better.
@@ -135,6 +140,29 @@
     Stop(String),
 }
 
+/// An answer is written within so long after it was decided, in ms. It was decided within a lease, 550 ms after a majority
+/// was asked; no other leads within 700 ms after that. The rest is for clocks at different rates.
+pub const WRITTEN_MS: Millis = 100.0;
+
+impl Action {
+    /// What is left of it when it is carried out only now: a process that stood still since, or waited for its disk, gives no
+    /// answer that it decided before.
+    pub fn fenced(self, decided: Millis, now: Millis) -> Action {
+        let late = now - decided > WRITTEN_MS;
+        match self {
+            Action::Answer { call, reply } if late && reply.status < 500 => {
+                Action::Answer { call, reply: Refusal::Later.reply() }
+            }
+            Action::Tell { to, word: Word::Answer(answer) } if late && answer.status < 500 => {
+                let Reply { status, body, .. } = Refusal::Later.reply();
+                let (status, body) = (u32::from(status), body.into_bytes());
+                Action::Tell { to, word: Word::Answer(Forwarded { status, body, ..answer }) }
+            }
+            action => action,
+        }
+    }
+}
+
 /// Who waits for an answer.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Caller {
@@ -211,6 +239,10 @@
     /// The number of the next call that is passed on.
     number: u64,
     ticks: u32,
+    /// When it was last told of time.
+    ticked: Millis,
+    /// Until then what it is called with may have waited while it stood still.
+    wakes_until: Millis,
     rng: fastrand::Rng,
 }
 
@@ -261,6 +293,8 @@
             count: count::Count::default(),
             number: seed >> 16,
             ticks: 0,
+            ticked: now,
+            wakes_until: now,
             rng: fastrand::Rng::with_seed(seed),
         };
         Ok((member, first))
@@ -315,6 +349,11 @@
 
     fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
         self.ticks = self.ticks.wrapping_add(1);
+        if self.stood_still(now) {
+            log::warn!("core: stood still for {:.0} ms", now - self.ticked);
+            self.wakes_until = now + WAKES_MS;
+        }
+        self.ticked = now;
         self.next.push_back(Next::Event(agreement::Event::Tick));
         self.go_on(now, out);
         if self.ticks.is_multiple_of(HOUSE_TICKS) {
@@ -494,8 +533,17 @@
 
     // ---- Calls ----------------------------------------------------------------------------------------------
 
+    /// Whether it was told of no time for long.
+    fn stood_still(&self, now: Millis) -> bool {
+        now - self.ticked > STOOD_STILL_MS
+    }
+
     /// A call came.
     fn called(&mut self, now: Millis, caller: Caller, called: &Called, out: &mut Vec<Action>) {
+        if self.stood_still(now) || now < self.wakes_until {
+            // It may have waited in its socket for long: its caller has given up, and may have called others since.
+            return self.refuse(&caller, &Refusal::Later, out);
+        }
         match calls::answer(self, now, called) {
             Served::Now(reply) => self.reply(&caller, reply, out),
             Served::Waits(granted, wait) => {
@@ -561,6 +609,10 @@
     fn leads(&self) -> bool {
         self.agreement.leads()
     }
+
+    fn vouches(&self, now: Millis) -> bool {
+        self.agreement.vouches(now)
+    }
 }
 
 /// What comes of a call to a member.
@@ -570,7 +622,3 @@
 fn change_in(entry: &Entry) -> Option<Change> {
     Change::decode(&entry.data[..]).ok().filter(|_| !entry.data.is_empty())
 }
-
-    fn vouches(&self, now: Millis) -> bool {
-        self.agreement.vouches(now)
-    }
