--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -8,7 +8,9 @@
 //! before the actions behind it are carried out. `docs/system/agreement.md` states what it promises.
 
 mod letter;
+mod members;
 mod role;
+mod snapshot;
 
 pub use letter::{Append, Entry, Install, Letter, Say};
 
@@ -214,49 +216,16 @@
             && self.quorum(|name| lead.asked(name, &self.me, now)).is_some_and(|at| now - at < LEASE_MS)
     }
 
-    /// The members, as the log has them.
-    pub fn members(&self) -> &[Name] {
-        self.log.iter().rev().find_map(|entry| entry.members()).unwrap_or(&self.base.members)
-    }
-
-    /// Whether it should ask to be a member: it is none, or was left out and was told by nobody.
-    pub fn apart(&self) -> bool {
-        !self.is_member() || self.leader().is_none()
-    }
-
     /// The number of the last entry that was applied.
     pub fn applied(&self) -> u64 {
         self.applied
     }
 
-    /// Applied entries behind this number; none if the log no longer holds them all.
-    pub fn since(&self, index: u64) -> Option<impl Iterator<Item = &Entry>> {
-        let skip = index.checked_sub(self.base.index)? as usize;
-        let applied = (self.applied - self.base.index) as usize;
-        Some(self.log.iter().take(applied).skip(skip))
-    }
-
     /// Entries that the log holds.
     pub fn log_length(&self) -> usize {
         self.log.len()
     }
 
-    /// The log begins anew behind what is applied, which is this state.
-    pub fn compact(&mut self, state: Vec<u8>, actions: &mut Vec<Action>) {
-        let index = self.applied;
-        let term = self.term_at(index).unwrap_or(self.base.term);
-        let applied = (index - self.base.index) as usize;
-        let members = self.log.iter().take(applied).rev().find_map(|entry| entry.members());
-        let members = members.unwrap_or(&self.base.members).to_vec();
-        self.log.drain(..applied);
-        self.base = Base { index, term, members, state };
-        actions.push(Action::Save(Save {
-            vow: self.vow.clone(),
-            entries: None,
-            base: Some(self.base.clone()),
-        }));
-    }
-
     /// Takes in one event and appends what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         match event {
@@ -307,24 +276,6 @@
         }
     }
 
-    // ---- Majorities ---------------------------------------------------------------------------------------
-
-    /// The least of what a majority of the members has, by what each of them has; none where too few count.
-    fn quorum<T: PartialOrd>(&self, of: impl Fn(&Name) -> Option<T>) -> Option<T> {
-        let members = self.members();
-        let mut have: Vec<T> = members.iter().filter_map(of).collect();
-        have.sort_by(|a, b| b.partial_cmp(a).unwrap_or(std::cmp::Ordering::Equal));
-        have.into_iter().nth(members.len() / 2)
-    }
-
-    fn others(&self) -> Vec<Name> {
-        self.members().iter().filter(|name| **name != self.me).cloned().collect()
-    }
-
-    fn is_member(&self) -> bool {
-        self.members().contains(&self.me)
-    }
-
     // ---- Roles --------------------------------------------------------------------------------------------
 
     /// The one place where the role changes.
@@ -529,34 +480,6 @@
         self.apply(actions);
     }
 
-    fn install(&mut self, now: Millis, from: Name, install: Install, actions: &mut Vec<Action>) {
-        let mut answer = Appended {
-            term: self.vow.term,
-            ok: false,
-            matched: self.last(),
-            counts: self.vow.counts,
-            at: install.at,
-        };
-        if install.term >= self.vow.term {
-            self.follow(now, install.term, Some(from.clone()), actions);
-            let Install { index, last_term, members, state, .. } = install;
-            if index > self.commit && self.term_at(index) == Some(last_term) {
-                // It has all that is in the state. What it holds behind that it may have answered for.
-                self.commit = index;
-                self.apply(actions);
-            } else if index > self.commit {
-                self.log.clear();
-                self.base = Base { index, term: last_term, members, state: state.clone() };
-                (self.commit, self.applied) = (index, index);
-                let (vow, base) = (self.vow.clone(), Some(self.base.clone()));
-                actions.push(Action::Save(Save { vow, entries: Some((index + 1, Vec::new())), base }));
-                actions.push(Action::Restore { index, state });
-            }
-            (answer.term, answer.ok, answer.matched) = (self.vow.term, true, index);
-        }
-        actions.push(Action::Send { to: from, say: Say::Appended(answer) });
-    }
-
     fn appended(&mut self, now: Millis, from: Name, answer: &Appended, actions: &mut Vec<Action>) {
         if answer.term > self.vow.term {
             return self.follow(now, answer.term, None, actions);
@@ -631,14 +554,7 @@
         let Role::Leader(lead) = &mut self.role else { return };
         let Some(progress) = lead.progress(to) else { return };
         if progress.next <= base {
-            if progress.out_since.is_some_and(|at| now - at < 5.0 * AGAIN_MS) {
-                return;
-            }
-            (progress.out_since, progress.sent) = (Some(now), now);
-            let Base { index, term: last_term, members, state } = self.base.clone();
-            let say = Say::Install(Install { term, index, last_term, members, state, at: now });
-            actions.push(Action::Send { to: to.clone(), say });
-            return;
+            return self.send_state(now, to, actions);
         }
         if progress.out_since.is_some_and(|at| now - at > AGAIN_MS) {
             (progress.next, progress.out_since) = (progress.matched + 1, None);
@@ -666,56 +582,4 @@
         let say = Say::Append(Append { term, prev, prev_term, entries, commit, counts, at: now });
         actions.push(Action::Send { to: to.clone(), say });
     }
-
-    /// A process wants to be a member: it is sent the log first.
-    fn join(&mut self, now: Millis, name: Name) {
-        let first = self.last() + 1;
-        let known = self.members().contains(&name);
-        if let Role::Leader(lead) = &mut self.role {
-            if !known {
-                lead.joining.entry(name).or_insert_with(|| Progress::new(first, now));
-            }
-        }
-    }
-
-    /// Members change one at a time, and not before the last change is agreed on.
-    fn settled(&self) -> bool {
-        let Role::Leader(lead) = &self.role else { return false };
-        let pending = self.log.iter().rev().find(|entry| entry.members().is_some());
-        self.commit >= lead.first && pending.is_none_or(|entry| entry.index <= self.commit)
-    }
-
-    /// One that has caught up becomes a member.
-    fn admit(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let (commit, settled) = (self.commit, self.settled());
-        let Role::Leader(lead) = &mut self.role else { return };
-        let ready = lead.joining.iter().find(|(_, p)| p.counts && p.matched >= commit && settled);
-        let Some(name) = ready.map(|(name, _)| name.clone()) else { return };
-        if let Some(progress) = lead.joining.remove(&name) {
-            lead.peers.insert(name.clone(), progress);
-        }
-        let mut members = self.members().to_vec();
-        members.push(name);
-        self.change_members(now, members, actions);
-    }
-
-    /// One that was lost for long is left out where another came in its place: three remain at least.
-    fn replace(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        if !self.settled() || self.members().len() <= 3 {
-            return;
-        }
-        let Role::Leader(lead) = &mut self.role else { return };
-        let lost = lead.peers.iter().find(|(_, p)| now - p.heard > LOST_MS).map(|(name, _)| name.clone());
-        if let Some(lost) = lost {
-            lead.peers.remove(&lost);
-            let members = self.members().iter().filter(|name| **name != lost).cloned().collect();
-            self.change_members(now, members, actions);
-        }
-    }
-
-    fn change_members(&mut self, now: Millis, mut members: Vec<Name>, actions: &mut Vec<Action>) {
-        members.sort();
-        let entry = Entry::of_members(self.vow.term, self.last() + 1, members);
-        self.append(now, entry, actions);
-    }
 }
--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -143,7 +143,7 @@
                 return Some(Event::Saved { took_ms: start.elapsed().as_secs_f64() * 1000.0 });
             }
             Action::Tell { to, word } => {
-                self.tell(&to, CoreWord { from: self.me.clone(), word: Some(word) });
+                self.tell(&to, CoreWord { from: self.me.clone(), word: Some(*word) });
             }
             Action::Pass { to, from } => {
                 self.tell(&to, CoreWord { from, word: Some(Word::Join(true)) });
--- a/overland/src/lib.rs
+++ b/overland/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod copy;
 pub mod figures;
 pub mod follow;
+pub mod ledger;
 pub mod link;
 pub mod member;
 pub mod news;
--- a/overland/src/member/joining.rs
+++ b/overland/src/member/joining.rs
@@ -61,7 +61,7 @@
 
     pub(super) fn tell(&self, to: &Name, word: Word, out: &mut Vec<Action>) {
         if *to != self.me {
-            out.push(Action::Tell { to: to.clone(), word });
+            out.push(Action::Tell { to: to.clone(), word: Box::new(word) });
         }
     }
 
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod callers;
 pub mod judge;
+pub mod racers;
 
 use callers::Callers;
 use judge::Judge;
@@ -41,7 +42,7 @@
 #[derive(Clone)]
 pub enum Input {
     Tick,
-    Heard(String, Word),
+    Heard(String, Box<Word>),
     /// A call: its token, method, path and body.
     Call(u64, &'static str, String, Vec<u8>),
     Agent(u64, FromAgent),
@@ -171,9 +172,14 @@
     /// Pairs of which the first can't reach the second.
     pub cuts: BTreeSet<(Place, Place)>,
     pub luck: Luck,
+    /// Part of the calls that a link holds up for seconds: whoever called has asked another meanwhile.
+    pub late: f64,
+    /// A mutant: what comes late counts as said last.
+    pub late_counts: bool,
     /// Calls on their way: to which core, in which of its lives.
     calls: BTreeMap<u64, (usize, u64, f64)>,
     pub callers: Callers,
+    pub racers: racers::Racers,
     pub judge: Judge,
     pub seeds: Vec<SocketAddr>,
     next: u64,
@@ -210,7 +216,7 @@
     }
 }
 
-fn settings(
+pub fn settings(
     node: String, control: Option<SocketAddr>, seeds: Vec<SocketAddr>, first_start: bool,
 ) -> Settings {
     Settings {
@@ -291,7 +297,10 @@
             links: BTreeMap::new(),
             cuts: BTreeSet::new(),
             luck: Luck { loss: 0.0, twice: 0.0, kill: 0.0, ack_loss: 0.0 },
+            late: 0.0,
+            late_counts: false,
             calls: BTreeMap::new(),
+            racers: racers::Racers::default(),
             judge: Judge::default(),
             seeds: (0..founders.min(3)).map(core_address).collect(),
             next: 0,
@@ -319,6 +328,7 @@
         self.cuts.clear();
         self.luck = Luck { loss: 0.0, twice: 0.0, kill: 0.0, ack_loss: 0.0 };
         (self.callers.churn, self.callers.wishes) = (false, false);
+        self.late = 0.0;
         (0..self.cores.len()).for_each(|core| self.start_core(core, false));
         (0..self.gateways.len()).for_each(|gateway| self.start_gateway(gateway));
         self.pass(self.now + for_ms);
@@ -514,7 +524,7 @@
                         self.at(TICK_MS, What::Core(number, life, Input::Tick));
                         Event::Tick
                     }
-                    Input::Heard(from, word) => Event::Heard { from, word },
+                    Input::Heard(from, word) => Event::Heard { from, word: *word },
                     Input::Call(call, method, path, body) => {
                         Event::Called { call, method: method.to_owned(), path, body }
                     }
@@ -527,8 +537,14 @@
             let now = (self.now - core.started) * core.rate;
             let Some(member) = &mut core.running else { return };
             let mut out = Vec::new();
+            let edition = |member: &Member| member.state().config.as_ref().map_or(0, |config| config.edition);
+            let before = edition(member);
             member.handle(now, event, &mut out);
+            let new = member.state().config.clone().filter(|config| config.edition != before);
             core.doing.extend(out);
+            if let (Some(config), false) = (new, self.racers.slots.is_empty()) {
+                racers::seen(self, config.edition, &config.text);
+            }
         }
     }
 
@@ -543,7 +559,7 @@
                     self.freeze_core(number, took_ms);
                 }
             }
-            Action::Tell { to, word } => self.tell(number, core_address(number).to_string(), &to, word),
+            Action::Tell { to, word } => self.tell(number, core_address(number).to_string(), &to, *word),
             Action::Pass { to, from } => self.tell(number, from, &to, Word::Join(true)),
             Action::Answer { call, reply } => {
                 let life = self.cores[number].life;
@@ -587,7 +603,7 @@
         &mut self, from: usize, to: usize, life: u64, name: String, word: Box<Word>, held: Option<f64>,
     ) {
         if self.reaches(Place::Core(from), Place::Core(to)) {
-            return self.happen(What::Core(to, life, Input::Heard(name, *word)));
+            return self.happen(What::Core(to, life, Input::Heard(name, word)));
         }
         let since = held.unwrap_or(self.now);
         if self.now - since < UNHEARD_MS && (held.is_some() || self.rng.bool()) {
@@ -605,7 +621,14 @@
         // A second of silence ends it.
         self.at(1000.0, What::Answered(token, None));
         if self.reaches(Place::Outside, Place::Core(core)) {
-            let delay = self.delay();
+            let mut delay = self.delay();
+            let mut body = body;
+            if self.late > 0.0 && self.rng.f64() < self.late {
+                delay += 1000.0 + self.rng.f64() * 2500.0;
+                if let (true, Ok(text)) = (self.late_counts, String::from_utf8(body.clone())) {
+                    body = text.replace("\"postmark\":", "\"postmark\":9").into_bytes();
+                }
+            }
             if self.cores[core].running.is_some() {
                 self.at(delay, What::Core(core, life, Input::Call(token, method, path, body)));
             } else {
