--- a/overland/tests/simulated/judge.rs
+++ b/overland/tests/simulated/judge.rs
@@ -26,6 +26,8 @@
     zones: BTreeMap<usize, (bool, bool)>,
     /// The life, number and version that each gateway's copy had.
     copies: BTreeMap<usize, (u64, u64, u64)>,
+    /// The life of each gateway, and the latest term that its proxy was told.
+    terms: BTreeMap<usize, (u64, u64)>,
     /// The newest version that was taken.
     newest: Option<usize>,
 }
@@ -109,6 +111,16 @@
         self.zones.insert(zone, (on, true));
     }
 
+    /// A gateway's proxy is told who leads, in this term; nought where nobody is known.
+    pub fn fed(&mut self, gateway: usize, life: u64, term: u64) {
+        let known = self.terms.entry(gateway).or_insert((life, 0));
+        if known.0 != life {
+            *known = (life, 0);
+        }
+        assert!(term == 0 || term >= known.1, "gateway {gateway} went back from term {} to {term}", known.1);
+        known.1 = known.1.max(term);
+    }
+
     // ---- Data planes ------------------------------------------------------------------------------------------
 
     /// A gateway's copy is this now.
@@ -150,6 +162,32 @@
     }
 }
 
+/// A backend whose closing or end was acknowledged is sent nothing new by gateways in touch a while later.
+pub fn drains(world: &World) {
+    let due = world.judge.closing.iter().filter(|(_, at)| **at + super::callers::DRAIN_MS < world.now);
+    let due: Vec<_> = due.collect();
+    for (number, gateway) in world.gateways.iter().enumerate().filter(|(number, _)| world.in_touch(*number)) {
+        let Some(copy) = gateway.copy.state() else { continue };
+        for (id, at) in &due {
+            let open = copy.backends.get(*id).is_some_and(|known| !known.backend.closing);
+            assert!(
+                !open,
+                "gateway {number} takes {id} to be open at {:.0}, and its end was acknowledged at {at:.0}",
+                world.now
+            );
+        }
+    }
+}
+
+/// An answer is written soon after it was decided.
+pub fn written(now: f64, decided: f64, reply: &overland::calls::Reply) {
+    assert!(
+        reply.status != 200 || now - decided < super::WRITTEN_MS,
+        "a call was granted {:.0} ms before the answer was written",
+        now - decided
+    );
+}
+
 /// Calm has come: all copies are one, and hold what was acknowledged.
 pub fn finish(world: &World) {
     let leader = world.leader().expect("somebody leads");
--- /dev/null
+++ b/overland/tests/simulated/troubles.rs
@@ -0,0 +1,147 @@
+//! Troubles, each brought about on purpose, drawn in their place, length and kind.
+
+use super::{Luck, Place, World};
+
+/// What happens to a system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// The leader is cut off from its peers alone: both ways, or one.
+    LeaderFromPeers,
+    /// From agents alone.
+    LeaderFromAgents,
+    /// From all, backends and operators too.
+    LeaderFromAll,
+    /// A member that doesn't lead is cut off from its peers.
+    MemberFromPeers,
+    /// The leader stands still, and is woken.
+    LeaderFrozen,
+    /// Any member does.
+    MemberFrozen,
+    /// Core processes stand still between any two actions.
+    Pauses,
+    /// The leader's disk hangs, or is slow.
+    DiskHangs,
+    /// The leader is killed, and comes back.
+    LeaderKilled,
+    /// Any process of the core is killed at any action.
+    Kills,
+    /// Some gateways are cut off from the core, for long.
+    GatewaysAlone,
+    /// A gateway's agent, proxy or both stand still.
+    GatewayFrozen,
+    /// A gateway is killed and starts anew, and is cut off soon after.
+    GatewayAnew,
+    /// Letters are lost and doubled, answers to callers lost.
+    Loss,
+}
+
+/// All of them.
+pub const ALL: [Trouble; 14] = [
+    Trouble::LeaderFromPeers,
+    Trouble::LeaderFromAgents,
+    Trouble::LeaderFromAll,
+    Trouble::MemberFromPeers,
+    Trouble::LeaderFrozen,
+    Trouble::MemberFrozen,
+    Trouble::Pauses,
+    Trouble::DiskHangs,
+    Trouble::LeaderKilled,
+    Trouble::Kills,
+    Trouble::GatewaysAlone,
+    Trouble::GatewayFrozen,
+    Trouble::GatewayAnew,
+    Trouble::Loss,
+];
+
+impl World {
+    fn any_core(&mut self) -> usize {
+        let cores = self.cores.len();
+        self.rng.usize(0..cores)
+    }
+
+    fn any_gateway(&mut self) -> usize {
+        let gateways = self.gateways.len();
+        self.rng.usize(0..gateways)
+    }
+
+    /// Cuts a place off from others, both ways, or one of them. At times its open links are reset at once.
+    pub fn cut_somehow(&mut self, place: Place, others: Vec<Place>) {
+        match self.rng.u32(0..4) {
+            0 => self.cuts.extend(others.iter().map(|other| (place, *other))),
+            1 => self.cuts.extend(others.iter().map(|other| (*other, place))),
+            _ => self.cut_off(place, others.iter().copied()),
+        }
+        if self.rng.bool() {
+            self.reset_links();
+        }
+    }
+
+    /// One trouble, from its beginning to its end. Gives how long it lasted, in ms.
+    pub fn bring_about(&mut self, trouble: Trouble) -> f64 {
+        let leader = self.leader().unwrap_or_else(|| self.any_core());
+        let peers = (0..self.cores.len()).map(Place::Core).collect::<Vec<_>>();
+        let agents = (0..self.gateways.len()).map(Place::Gateway).collect::<Vec<_>>();
+        let mut for_ms = [300.0, 2_000.0, 20_000.0][self.rng.usize(0..3)] * (0.5 + self.rng.f64());
+        match trouble {
+            Trouble::LeaderFromPeers => self.cut_somehow(Place::Core(leader), peers),
+            Trouble::LeaderFromAgents => self.cut_somehow(Place::Core(leader), agents),
+            Trouble::LeaderFromAll => {
+                let all = [peers, agents, vec![Place::Outside]].concat();
+                self.cut_somehow(Place::Core(leader), all);
+            }
+            Trouble::MemberFromPeers => {
+                let core = self.any_core();
+                self.cut_somehow(Place::Core(core), peers);
+            }
+            Trouble::LeaderFrozen => self.freeze_core(leader, for_ms),
+            Trouble::MemberFrozen => {
+                let core = self.any_core();
+                self.freeze_core(core, for_ms);
+            }
+            Trouble::Pauses => {
+                for_ms = for_ms.min(6_000.0);
+                self.luck.pause = 0.002;
+            }
+            Trouble::DiskHangs => self.cores[leader].sync_ms = [20.0, 300.0, 4_000.0][self.rng.usize(0..3)],
+            Trouble::LeaderKilled => {
+                self.kill_core(leader);
+                let after = self.rng.f64() * 4_000.0;
+                self.start_later(Place::Core(leader), after);
+            }
+            Trouble::Kills => {
+                for_ms = for_ms.min(6_000.0);
+                self.luck.kill = 0.001;
+            }
+            Trouble::GatewaysAlone => {
+                for_ms += [0.0, 40_000.0][self.rng.usize(0..2)];
+                for _ in 0..self.rng.u32(1..4) {
+                    let gateway = self.any_gateway();
+                    self.cut_somehow(Place::Gateway(gateway), peers.clone());
+                }
+            }
+            Trouble::GatewayFrozen => {
+                let (gateway, kind) = (self.any_gateway(), self.rng.u32(1..4));
+                self.freeze_gateway(gateway, kind & 1 > 0, kind & 2 > 0, for_ms);
+            }
+            Trouble::GatewayAnew => {
+                let gateway = self.any_gateway();
+                self.kill_gateway(gateway);
+                let pause = self.rng.f64() * 1_000.0;
+                self.pass(self.now + pause);
+                self.start_gateway(gateway);
+                let pause = self.rng.f64() * 600.0;
+                self.pass(self.now + pause);
+                self.cut_off(Place::Gateway(gateway), peers);
+            }
+            Trouble::Loss => {
+                self.luck = Luck { loss: 0.1, twice: 0.1, ack_loss: 0.2, ..Luck::CALM };
+            }
+        }
+        self.pass(self.now + for_ms);
+        self.cuts.clear();
+        self.luck = Luck::CALM;
+        self.cores.iter_mut().for_each(|core| core.sync_ms = 0.5);
+        (0..self.cores.len()).for_each(|core| self.start_core(core, false));
+        for_ms
+    }
+}
