Find a damaged disk at the start and begin as an empty one: a form with its version, digests, and a mark beside it

Change: each record ends in a digest; the vow names the form (1, read up to 2; fields are only added, records without digest are the first program's), the last entry and the number of the save, which a mark beside the store repeats after each sync. A store that can't be read, has a gap, ends early, or is behind its mark is set aside as core.damaged; the process starts with a vow that counts for nothing, founds nothing, and the others fill it up. A disk that takes nothing (full, read-only) ends the start with a line, and loses nothing.

--- a/overland/src/store.rs
+++ b/overland/src/store.rs
@@ -1,16 +1,37 @@
-//! What a core process must not forget, on disk.
+//! What a core process must not forget, on disk. What was damaged there is found at a start, and is then as good as
+//! forgotten: the process starts as one with an empty disk that founds nothing, and the others fill it up.
+//!
+//! Each record ends in a digest of what is before it; the vow, which each save writes, names the form, the last entry and
+//! the number of the save. A mark beside the store names that number, too, written when the save is on disk: a store that
+//! is behind its mark has lost what it had brought to disk.
 
 use crate::agreement::{Base, Entry, Save, Saved, Vow};
-use eyre::Result;
+use crate::state::hasher;
+use eyre::{bail, Result, WrapErr};
 use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
 use prost::Message;
-use std::path::Path;
+use std::cell::Cell;
+use std::fs::{self, File};
+use std::hash::Hasher;
+use std::io::{self, ErrorKind};
+use std::os::unix::fs::FileExt;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::{Path, PathBuf};
 
 /// Bytes of memory that the store may hold for reads.
 const CACHE: u64 = 1 << 20;
 /// Bytes of its journal at most: the disk is small.
 const JOURNAL: u64 = 64 << 20;
 
+/// The form that is written. Fields are only added to it, so that the program before it reads it, too.
+const FORM: u32 = 1;
+/// The newest form that is read: that of the next program, from which one goes back.
+const FORM_READ: u32 = FORM + 1;
+/// The field of a record's digest.
+const DIGEST: u32 = 15;
+/// Bytes of that field: its tag, and eight.
+const DIGEST_BYTES: usize = 9;
+
 const VOW: &[u8] = b"vow";
 const BASE: &[u8] = b"base";
 const ENTRY: u8 = b'e';
@@ -24,6 +45,22 @@
     vote: Option<String>,
     #[prost(bool, tag = "3")]
     counts: bool,
+    /// Nought as the first program wrote it, which knew none of what follows.
+    #[prost(uint32, tag = "4")]
+    form: u32,
+    /// The number of the last entry.
+    #[prost(uint64, tag = "5")]
+    last: u64,
+    /// Counts the saves.
+    #[prost(uint64, tag = "6")]
+    saves: u64,
+}
+
+/// The digest of a record.
+#[derive(Clone, PartialEq, Message)]
+struct Seal {
+    #[prost(fixed64, optional, tag = "15")]
+    digest: Option<u64>,
 }
 
 /// The disk's form of [`Base`].
@@ -71,6 +108,18 @@
 pub struct Store {
     database: Database,
     keys: Keyspace,
+    mark: File,
+    saves: Cell<u64>,
+    last: Cell<u64>,
+}
+
+/// What was read of a disk.
+enum Read {
+    Nothing,
+    /// What it holds, the number of its last save, and that of its last entry.
+    Held(Saved, u64, u64),
+    /// It can't go by what it holds, and why.
+    Damaged(String),
 }
 
 fn entry_key(index: u64) -> [u8; 9] {
@@ -79,67 +128,240 @@
     key
 }
 
+fn digest(bytes: &[u8]) -> u64 {
+    let mut hasher = hasher();
+    hasher.write(bytes);
+    hasher.finish()
+}
+
+/// A record with its digest behind it.
+fn sealed(message: &impl Message) -> Vec<u8> {
+    let mut bytes = message.encode_to_vec();
+    let digest = digest(&bytes);
+    prost::encoding::fixed64::encode(DIGEST, &digest, &mut bytes);
+    bytes
+}
+
+/// A record that is what was written. One without a digest is of the first program.
+fn opened<M: Message + Default>(bytes: &[u8]) -> Result<M> {
+    if let Some(digest) = Seal::decode(bytes)?.digest {
+        let before = bytes.len().checked_sub(DIGEST_BYTES).and_then(|end| bytes.get(..end));
+        if before.map(self::digest) != Some(digest) {
+            bail!("a record is not what was written");
+        }
+    }
+    Ok(M::decode(bytes)?)
+}
+
+/// An error that says nothing of what is on the disk: another start may find it gone.
+fn passing(error: &io::Error) -> bool {
+    /// Too many open files.
+    const FILES: [i32; 2] = [23, 24];
+    let kinds = [
+        ErrorKind::StorageFull,
+        ErrorKind::QuotaExceeded,
+        ErrorKind::ReadOnlyFilesystem,
+        ErrorKind::PermissionDenied,
+        ErrorKind::OutOfMemory,
+    ];
+    kinds.contains(&error.kind()) || error.raw_os_error().is_some_and(|code| FILES.contains(&code))
+}
+
+fn passes(error: &fjall::Error) -> bool {
+    match error {
+        fjall::Error::Io(error) => passing(error),
+        fjall::Error::Storage(fjall::LsmError::Io(error)) => passing(error),
+        fjall::Error::Locked => true,
+        _ => false,
+    }
+}
+
 impl Store {
-    /// Opens the store in a folder, and reads what it holds: nothing where the disk is empty.
+    /// Opens the store in a folder, and reads what it holds: nothing where the disk is empty, and the vow of a process that
+    /// counts for nothing where it was damaged. The damaged store is set aside beside the new one.
+    ///
+    /// # Errors
+    ///
+    /// The disk takes nothing (it is full, or may not be written), or holds a form of a later program.
     pub fn open(folder: &Path) -> Result<(Self, Option<Saved>)> {
-        let database = Database::builder(folder.join("core"))
-            .cache_size(CACHE)
-            .max_journaling_size(JOURNAL)
-            .worker_threads(1)
-            .open()?;
-        let keys = database.keyspace("agreement", KeyspaceCreateOptions::default)?;
-        let store = Store { database, keys };
-        let saved = store.read()?;
-        Ok((store, saved))
+        fs::create_dir_all(folder)?;
+        let (path, aside) = (folder.join("core"), folder.join("core.damaged"));
+        let marked = Mark::read(folder)?;
+        // A start that ended right after it had set a damaged store aside finds that alone.
+        let held = marked.is_some() || aside.exists();
+        let opened = Self::open_at(&path, folder)?;
+        let why = match opened {
+            Ok((store, read)) => match read {
+                Read::Held(_, saves, _) if saves > 0 && marked.is_some_and(|mark| mark > saves) => {
+                    format!("save {saves} is its last, and {} were made", marked.unwrap_or(0))
+                }
+                Read::Held(saved, saves, last) => {
+                    store.saves.set(saves.max(marked.unwrap_or(0)));
+                    store.last.set(last);
+                    // A disk that takes nothing more is found before anybody goes by what it will hold.
+                    let vow = saved.vow.clone();
+                    store
+                        .save(&Save { vow, entries: None, base: None })
+                        .wrap_err("the disk takes nothing")?;
+                    return Ok((store, Some(saved)));
+                }
+                Read::Nothing if !held => return Ok((store, None)),
+                Read::Nothing => "it is empty, and was not".to_owned(),
+                Read::Damaged(why) => why,
+            },
+            Err(why) => why,
+        };
+        log::error!("store: the disk is damaged: {why}: it is set aside and filled up from the others");
+        Self::begin_anew(&path, &aside, folder)
+    }
+
+    /// Sets a damaged store aside and begins one that counts for nothing.
+    fn begin_anew(path: &PathBuf, aside: &PathBuf, folder: &Path) -> Result<(Self, Option<Saved>)> {
+        if aside.exists() && path.exists() {
+            fs::remove_dir_all(aside)?;
+        }
+        if path.exists() {
+            fs::rename(path, aside)?;
+        }
+        let (store, _) = Self::open_at(path, folder)?.map_err(|why| eyre::eyre!("a new store: {why}"))?;
+        let saved = Saved::default();
+        store.save(&Save {
+            vow: saved.vow.clone(),
+            entries: Some((0, Vec::new())),
+            base: Some(saved.base.clone()),
+        })?;
+        Ok((store, Some(saved)))
     }
 
-    fn read(&self) -> Result<Option<Saved>> {
-        let Some(vow) = self.keys.get(VOW)? else { return Ok(None) };
-        let VowForm { term, vote, counts } = VowForm::decode(&*vow)?;
+    /// Opens and reads what is there; why it can't be gone by, where it can't.
+    fn open_at(path: &Path, folder: &Path) -> Result<std::result::Result<(Self, Read), String>> {
+        let open = || -> std::result::Result<(Database, Keyspace), fjall::Error> {
+            let database = Database::builder(path)
+                .cache_size(CACHE)
+                .max_journaling_size(JOURNAL)
+                .worker_threads(1)
+                .open()?;
+            let keys = database.keyspace("agreement", KeyspaceCreateOptions::default)?;
+            Ok((database, keys))
+        };
+        // The library ends in a panic on some files that it did not write so.
+        let (database, keys) = match catch_unwind(AssertUnwindSafe(open)) {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(error)) if passes(&error) => return Err(error).wrap_err("the disk takes nothing"),
+            Ok(Err(error)) => return Ok(Err(error.to_string())),
+            Err(_) => return Ok(Err("its files can't be read".to_owned())),
+        };
+        let mark = Mark::open(folder)?;
+        let store = Store { database, keys, mark, saves: Cell::new(0), last: Cell::new(0) };
+        let read = match catch_unwind(AssertUnwindSafe(|| store.read())) {
+            Ok(Ok(read)) => read,
+            Ok(Err(error)) => Read::Damaged(error.to_string()),
+            Err(_) => Read::Damaged("its files can't be read".to_owned()),
+        };
+        if let Read::Held(_, _, _) = &read {
+            let form = store.keys.get(VOW)?.map(|vow| opened::<VowForm>(&vow)).transpose()?;
+            let form = form.map_or(0, |vow| vow.form);
+            if form > FORM_READ {
+                bail!("the disk is of form {form}, and this program reads up to {FORM_READ}");
+            }
+        }
+        Ok(Ok((store, read)))
+    }
+
+    fn read(&self) -> Result<Read> {
+        let Some(vow) = self.keys.get(VOW)? else {
+            let any = self.keys.iter().next().is_some();
+            return Ok(if any { Read::Damaged("it holds no vow".into()) } else { Read::Nothing });
+        };
+        let VowForm { term, vote, counts, form, last, saves } = opened(&vow)?;
         let base = match self.keys.get(BASE)? {
-            Some(base) => BaseForm::decode(&*base)?,
-            None => BaseForm::default(),
+            Some(base) => opened(&base)?,
+            None => bail!("it holds no state"),
         };
         let BaseForm { index, term: base_term, members, state } = base;
         let mut entries = Vec::new();
-        for pair in self.keys.range(entry_key(index + 1)..=entry_key(u64::MAX)) {
-            let entry = Entry::decode(&*pair.value()?)?;
-            // A gap can only be what an older log left behind.
-            if entry.index != index + 1 + entries.len() as u64 {
-                break;
+        for pair in self.keys.range(entry_key(0)..=entry_key(u64::MAX)) {
+            let (key, value) = pair.into_inner()?;
+            let entry: Entry = opened(&value)?;
+            // Each save takes away what is no longer the log.
+            if entry.index != index + 1 + entries.len() as u64 || *key != entry_key(entry.index) {
+                bail!("the log has a gap before {}", entry.index);
             }
             entries.push(entry);
         }
+        let end = index + entries.len() as u64;
+        if form > 0 && end != last {
+            bail!("the log ends with {end}, and {last} was its last");
+        }
         let vow = Vow { term, vote, counts };
-        Ok(Some(Saved { vow, base: Base { index, term: base_term, members, state }, entries }))
+        let saved = Saved { vow, base: Base { index, term: base_term, members, state }, entries };
+        Ok(Read::Held(saved, saves, end))
     }
 
     /// Brings it to disk. When this returns it is there.
+    ///
+    /// # Errors
+    ///
+    /// The disk takes nothing. What is on it is what was there before, or this.
     pub fn save(&self, save: &Save) -> Result<()> {
         let mut batch = self.database.batch();
-        let Vow { term, vote, counts } = save.vow.clone();
-        batch.insert(&self.keys, VOW, VowForm { term, vote, counts }.encode_to_vec());
+        let (mut last, saves) = (self.last.get(), self.saves.get() + 1);
         if let Some(base) = &save.base {
             let Base { index, term, members, state } = base.clone();
             for pair in self.keys.range(entry_key(0)..=entry_key(index)) {
                 batch.remove(&self.keys, pair.key()?);
             }
-            batch.insert(&self.keys, BASE, BaseForm { index, term, members, state }.encode_to_vec());
+            batch.insert(&self.keys, BASE, sealed(&BaseForm { index, term, members, state }));
+            last = last.max(index);
         }
         if let Some((first, entries)) = &save.entries {
             for pair in self.keys.range(entry_key(first + entries.len() as u64)..=entry_key(u64::MAX)) {
                 batch.remove(&self.keys, pair.key()?);
             }
             for entry in entries {
-                batch.insert(&self.keys, entry_key(entry.index), entry.encode_to_vec());
+                batch.insert(&self.keys, entry_key(entry.index), sealed(entry));
             }
+            last = (first + entries.len() as u64).saturating_sub(1);
         }
+        let Vow { term, vote, counts } = save.vow.clone();
+        batch.insert(&self.keys, VOW, sealed(&VowForm { term, vote, counts, form: FORM, last, saves }));
         batch.commit()?;
         self.database.persist(PersistMode::SyncAll)?;
+        self.last.set(last);
+        self.saves.set(saves);
+        Mark::write(&self.mark, saves)?;
         Ok(())
     }
 }
 
+/// The number of the last save, beside the store. It is not brought to disk by itself: after a loss of power it may be
+/// older than the store, never newer.
+struct Mark;
+
+impl Mark {
+    fn open(folder: &Path) -> io::Result<File> {
+        File::options().read(true).write(true).create(true).truncate(false).open(folder.join("core.mark"))
+    }
+
+    /// None where there is none, or none that can be read: the store stands for itself then.
+    fn read(folder: &Path) -> io::Result<Option<u64>> {
+        let bytes = match fs::read(folder.join("core.mark")) {
+            Ok(bytes) => bytes,
+            Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
+            Err(error) => return Err(error),
+        };
+        let word = |at: usize| bytes.get(at..at + 8)?.try_into().ok().map(u64::from_le_bytes);
+        let (saves, known) = (word(0), word(8));
+        Ok(saves.filter(|saves| known == Some(digest(&saves.to_le_bytes()))))
+    }
+
+    fn write(file: &File, saves: u64) -> io::Result<()> {
+        let mut bytes = saves.to_le_bytes().to_vec();
+        bytes.extend(digest(&saves.to_le_bytes()).to_le_bytes());
+        file.write_all_at(&bytes, 0)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/overland/tests/store.rs
@@ -0,0 +1,128 @@
+//! The disk of a core process: what is damaged on it is found at a start, and nothing else is ever read from it than what
+//! was saved last.
+
+use overland::agreement::{Base, Entry, Save, Saved, Vow};
+use overland::store::Store;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// Saves as a member makes them: entries, a log that is cut, a state in place of the first entries.
+fn fill(folder: &Path, saves: u64) -> Saved {
+    let (store, held) = Store::open(folder).expect("an empty disk");
+    assert!(held.is_none());
+    let members = vec!["a".to_owned(), "b".to_owned(), "c".to_owned()];
+    let mut saved = Saved::default();
+    let mut save = |store: &Store, save: Save| {
+        store.save(&save).expect("it is saved");
+        saved.vow = save.vow;
+        if let Some(base) = save.base {
+            saved.entries.retain(|entry| entry.index > base.index);
+            saved.base = base;
+        }
+        if let Some((first, entries)) = save.entries {
+            saved.entries.retain(|entry| entry.index < first);
+            saved.entries.extend(entries);
+        }
+    };
+    let vow = |term| Vow { term, vote: Some("a".into()), counts: true };
+    let base = |index| Base { index, term: 1, members: members.clone(), state: vec![7; 300] };
+    save(&store, Save { vow: vow(1), entries: None, base: Some(base(1)) });
+    for index in 2..saves {
+        let entry = Entry { index, term: 1, data: vec![index as u8; 40], new_members: Vec::new() };
+        save(&store, Save { vow: vow(index), entries: Some((index, vec![entry])), base: None });
+        if index == saves / 2 {
+            save(&store, Save { vow: vow(index), entries: None, base: Some(base(index - 3)) });
+        }
+    }
+    saved
+}
+
+fn copy(from: &Path, to: &Path) {
+    fs::create_dir_all(to).expect("a folder");
+    for entry in fs::read_dir(from).expect("a folder").flatten() {
+        let (path, to) = (entry.path(), to.join(entry.file_name()));
+        if path.is_dir() {
+            copy(&path, &to);
+        } else {
+            fs::copy(&path, &to).expect("a copy");
+        }
+    }
+}
+
+fn files(folder: &Path) -> Vec<PathBuf> {
+    let mut all = Vec::new();
+    for entry in fs::read_dir(folder).expect("a folder").flatten() {
+        if entry.path().is_dir() {
+            all.extend(files(&entry.path()));
+        } else {
+            all.push(entry.path());
+        }
+    }
+    all.sort();
+    all
+}
+
+/// Damages copies of a disk in drawn places. What is read is what was saved last, or nothing that counts.
+fn damaged(times: u64, damage: impl Fn(&mut fastrand::Rng, &Path) -> bool) -> u64 {
+    let folder = tempfile::tempdir().expect("a folder");
+    let saved = fill(folder.path(), 60);
+    let mut found = 0;
+    for seed in 0..times {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let other = tempfile::tempdir().expect("a folder");
+        copy(folder.path(), other.path());
+        let all = files(other.path());
+        let file = &all[rng.usize(0..all.len())];
+        if !damage(&mut rng, file) {
+            continue;
+        }
+        let (store, held) = Store::open(other.path()).expect("it starts");
+        let held = held.expect("it was not empty");
+        let lost = held == Saved::default();
+        assert!(lost || held == saved, "{seed}: {} and something else is read", file.display());
+        found += u64::from(lost);
+        drop(store);
+        // It goes on from there, and stays as it is.
+        let (_, again) = Store::open(other.path()).expect("it starts again");
+        assert_eq!(again, Some(held), "{seed}: {}", file.display());
+    }
+    found
+}
+
+fn histories(few: u64) -> u64 {
+    std::env::var("HISTORIES").ok().and_then(|text| text.parse().ok()).unwrap_or(few)
+}
+
+#[test]
+fn a_flipped_byte_is_found_or_harmless() {
+    let found = damaged(histories(12), |rng, file| {
+        let mut bytes = fs::read(file).expect("a file");
+        // What was written is in front; the rest of a journal is nought.
+        let end = bytes.iter().rposition(|byte| *byte != 0).map_or(0, |at| at + 1);
+        if end == 0 {
+            return false;
+        }
+        bytes[rng.usize(0..end)] ^= 1 << rng.u32(0..8);
+        fs::write(file, bytes).is_ok()
+    });
+    assert!(found > 0, "no damage was found");
+}
+
+#[test]
+fn a_torn_file_is_found_or_harmless() {
+    let found = damaged(histories(8), |rng, file| {
+        let bytes = fs::read(file).expect("a file");
+        let end = bytes.iter().rposition(|byte| *byte != 0).map_or(0, |at| at + 1);
+        end > 0 && fs::write(file, &bytes[..rng.usize(0..end)]).is_ok()
+    });
+    assert!(found > 0, "no damage was found");
+}
+
+#[test]
+fn a_store_that_is_lost_beside_its_mark_is_no_empty_disk() {
+    let folder = tempfile::tempdir().expect("a folder");
+    fill(folder.path(), 10);
+    fs::remove_dir_all(folder.path().join("core")).expect("it was there");
+    let (_, held) = Store::open(folder.path()).expect("it starts");
+    assert_eq!(held, Some(Saved::default()));
+}
