Send a state in pieces with a digest over the whole, keep a tail of the log, and take no state that can't be read

Cause: a state went as one message, again each 1.5 s while unanswered, with no sign of life meanwhile: 3 MB at 2 Mbit/s take 12 s, in which its member asks for votes. Compaction dropped all that was applied, so one entry behind was far behind. A state that could not be read was on disk before it was looked at, and a start from it failed for good. Change: pieces of 32 KiB, each answered before the next, with signs of life between; an answer is taken once, by the time that it answers. What came is gone on with under any leader that has the same state, which all members have: they compact at the same numbers (each 512). A state on its way stays the one that is sent while the log goes on from it: 512 entries or 1 MiB are kept behind the state, 4,096 or 8 MiB while one is sent. The whole is checked (digest over number, term, members, state) and read before anything is saved; one that can't be read is offered again after 5 s. Entries: 64 KiB in flight to a member, sent again later the more bytes are out. A state on disk that can't be read is an empty disk. A member that can't read a change that was agreed on answers for nobody and names another leader until it is mended. Seen failing: a_state_that_cant_be_read_is_neither_saved_nor_followed ("it is on disk") and a_start_from_a_damaged_disk_is_one_from_an_empty_disk, with the checks taken out.

--- a/overland/src/agreement/letter.rs
+++ b/overland/src/agreement/letter.rs
@@ -41,7 +41,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Letter {
     /// What it says.
-    #[prost(oneof = "Say", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Say", tags = "1, 2, 3, 4, 5, 6, 11, 12")]
     pub say: Option<Say>,
 }
 
@@ -66,6 +66,12 @@
     /// The leader of this term names its successor.
     #[prost(uint64, tag = "6")]
     Succeed(u64),
+    /// A piece of a state that is too long for one letter.
+    #[prost(message, tag = "11")]
+    Piece(Piece),
+    /// The answer.
+    #[prost(message, tag = "12")]
+    Took(Took),
 }
 
 /// Asks for a vote.
@@ -170,3 +176,61 @@
     #[prost(double, tag = "6")]
     pub at: f64,
 }
+
+/// A piece of a state.
+#[derive(Clone, PartialEq, Message)]
+pub struct Piece {
+    /// The leader's term.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// The number of the last entry in the state.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// Its term.
+    #[prost(uint64, tag = "3")]
+    pub last_term: u64,
+    /// The members then; in the first piece alone.
+    #[prost(string, repeated, tag = "4")]
+    pub members: Vec<String>,
+    /// The bytes of the whole state.
+    #[prost(uint64, tag = "5")]
+    pub total: u64,
+    /// The digest of number, term, members and state.
+    #[prost(fixed64, tag = "6")]
+    pub digest: u64,
+    /// Where in the state this piece begins.
+    #[prost(uint64, tag = "7")]
+    pub offset: u64,
+    /// The piece.
+    #[prost(bytes = "vec", tag = "8")]
+    pub bytes: Vec<u8>,
+    /// When it was sent, by the leader's clock, in ms.
+    #[prost(double, tag = "9")]
+    pub at: f64,
+}
+
+/// The answer to a piece.
+#[derive(Clone, PartialEq, Message)]
+pub struct Took {
+    /// The term of who answers.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// The number of the state that the piece is of.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// Its digest.
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
+    /// Where the next piece is to begin.
+    #[prost(uint64, tag = "4")]
+    pub wanted: u64,
+    /// The whole came and can't be read: it is not wanted again soon.
+    #[prost(bool, tag = "5")]
+    pub refused: bool,
+    /// Its word counts.
+    #[prost(bool, tag = "6")]
+    pub counts: bool,
+    /// When what it answers was sent, by the leader's clock.
+    #[prost(double, tag = "7")]
+    pub at: f64,
+}
--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -11,12 +11,14 @@
 mod role;
 mod snapshot;
 
-pub use letter::{Append, Entry, Install, Letter, Say};
+pub use letter::{Append, Entry, Install, Letter, Piece, Say};
+pub use snapshot::Sizes;
 
 use cherrytally::Millis;
 use letter::{Appended, Vote, VoteAsk};
 use role::{Follow, Lead, Progress, Role};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 /// A member's name.
 pub type Name = String;
@@ -36,10 +38,17 @@
 /// An empty disk may have forgotten a vote: its member votes for nobody for so long after its start, in ms. Old
 /// letters are answered or lost by then.
 const FORGOTTEN_MS: f64 = 3000.0;
-/// Entries in one letter at most, and their bytes.
-const BATCH: (usize, usize) = (256, 512 * 1024);
-/// Unanswered letters with entries are sent again after so long, in ms.
+/// Entries in one letter at most.
+const BATCH: usize = 256;
+/// Bytes of entries that a member is sent before it answers, or one entry: at 2 Mbit/s a sign of life that stands behind
+/// them comes a quarter of a second late, and at 50 ms there and back a MiB passes in a second.
+const FLIGHT: usize = 64 * 1024;
+/// What an entry takes beside its change, about, in bytes.
+const ENTRY_BYTES: usize = 16;
+/// Unanswered letters with entries are sent again after so long, in ms, and a ms later for so many bytes in them: a link
+/// of 1 Mbit/s is slow, not silent.
 const AGAIN_MS: f64 = 300.0;
+const AGAIN_BYTES_MS: f64 = 125.0;
 /// A member that said nothing for so long, in ms, may be replaced by one that waits to join.
 const LOST_MS: f64 = 9000.0;
 
@@ -138,8 +147,15 @@
 pub struct Agreement {
     me: Name,
     vow: Vow,
-    base: Base,
+    base: Arc<Base>,
+    /// Entries that the base holds, the newest, for members that are a little behind.
+    tail: VecDeque<Entry>,
     log: VecDeque<Entry>,
+    sizes: Sizes,
+    /// Pieces of a state that came so far.
+    partial: Option<snapshot::Partial>,
+    /// Whether a state can be read.
+    reads: fn(&[u8]) -> bool,
     /// The number of the last entry that is agreed on.
     commit: u64,
     applied: u64,
@@ -173,8 +189,12 @@
             commit: base.index,
             applied: base.index,
             vow,
-            base,
+            base: Arc::new(base),
+            tail: VecDeque::new(),
             log: entries.into(),
+            sizes: Sizes::default(),
+            partial: None,
+            reads: |_| true,
             role: Role::Follower(Follow { leader: None }),
             heard: f64::NEG_INFINITY,
             // Whoever leads is asked first whether it does: nobody votes for another while it is heard.
@@ -184,6 +204,16 @@
         }
     }
 
+    /// It takes no state that can't be read in this way.
+    pub fn reading(self, reads: fn(&[u8]) -> bool) -> Self {
+        Agreement { reads, ..self }
+    }
+
+    /// It keeps and sends so much at a time.
+    pub fn sized(self, sizes: Sizes) -> Self {
+        Agreement { sizes, ..self }
+    }
+
     /// The latest term that it has heard of.
     pub fn term(&self) -> u64 {
         self.vow.term
@@ -256,8 +286,7 @@
         if index == self.base.index {
             return Some(self.base.term);
         }
-        let at = index.checked_sub(self.base.index + 1)?;
-        self.log.get(at as usize).map(|entry| entry.term)
+        self.kept(index.checked_sub(1)?)?.next().map(|entry| entry.term)
     }
 
     fn save(&self, entries: Option<(u64, Vec<Entry>)>, actions: &mut Vec<Action>) {
@@ -423,6 +452,8 @@
             Say::Append(append) => self.append_asked(now, from, append, actions),
             Say::Appended(appended) => self.appended(now, from, &appended, actions),
             Say::Install(install) => self.install(now, from, install, actions),
+            Say::Piece(piece) => self.piece(now, from, piece, actions),
+            Say::Took(took) => self.took(now, from, &took, actions),
             Say::Succeed(term) => {
                 let leader = self.leader() == Some(&from);
                 if term == self.vow.term && leader {
@@ -492,6 +523,7 @@
             self.save(Some((first, entries)), actions);
         }
         self.commit = self.commit.max(append.commit.min(end));
+        self.partial.take_if(|partial| partial.index <= self.commit);
         if append.counts && !self.vow.counts && self.commit >= append.commit {
             // A leader says that nothing that is agreed on is missing here.
             self.vow.counts = true;
@@ -513,20 +545,19 @@
         }
         let first = lead.first;
         let Some(progress) = lead.progress(&from) else { return };
-        (progress.heard, progress.asked) = (now, progress.asked.max(answer.at));
-        if progress.counts && !answer.counts {
-            // Its disk is new: what it held is gone.
-            (progress.matched, progress.welcome) = (0, false);
-        }
-        progress.counts = answer.counts;
+        progress.answered(now, answer.at, answer.counts);
         if answer.ok {
             progress.matched = progress.matched.max(answer.matched);
             progress.next = progress.next.max(answer.matched + 1);
             progress.out_since = (progress.matched + 1 < progress.next).then_some(now);
+            progress.sending.take_if(|sending| sending.index() <= answer.matched);
         } else {
             progress.next = (answer.matched + 1).min(last + 1).max(1);
             progress.out_since = None;
         }
+        if progress.out_since.is_none() {
+            progress.flight = 0;
+        }
         // Before an entry of its own term is agreed on a leader does not know all that was.
         progress.welcome |= progress.matched >= commit && commit >= first && answer.ok;
         let more = progress.next <= last || !answer.ok || (progress.welcome && !progress.counts);
@@ -572,32 +603,30 @@
 
     /// Sends one member what it lacks, or a sign of life.
     fn speak(&mut self, now: Millis, to: &Name, actions: &mut Vec<Action>) {
-        let (term, commit, base) = (self.vow.term, self.commit, self.base.index);
+        let (term, commit, floor) = (self.vow.term, self.commit, self.floor());
         let Role::Leader(lead) = &mut self.role else { return };
         let Some(progress) = lead.progress(to) else { return };
-        if progress.next <= base {
+        if progress.next <= floor {
             return self.send_state(now, to, actions);
         }
-        if progress.out_since.is_some_and(|at| now - at > AGAIN_MS) {
-            (progress.next, progress.out_since) = (progress.matched + 1, None);
-        }
-        let prev = progress.next.max(base + 1) - 1;
-        let mut bytes = 0;
-        let entries: Vec<_> = self
-            .log
-            .iter()
-            .skip((prev - base) as usize)
-            .take(BATCH.0)
-            .take_while(|entry| {
-                let fits = bytes < BATCH.1;
-                bytes += entry.data.len();
-                fits
-            })
-            .cloned()
-            .collect();
+        let again = AGAIN_MS + progress.flight as f64 / AGAIN_BYTES_MS;
+        if progress.out_since.is_some_and(|at| now - at > again) {
+            (progress.next, progress.out_since, progress.flight) = (progress.matched + 1, None, 0);
+        }
+        let (prev, mut flight) = (progress.next.max(floor + 1) - 1, progress.flight);
+        let fits = |entry: &&Entry| {
+            let first = flight == 0;
+            flight += entry.data.len() + ENTRY_BYTES;
+            first || flight <= FLIGHT
+        };
+        let kept = self.kept(prev).into_iter().flatten();
+        let entries: Vec<_> = kept.take(BATCH).take_while(fits).cloned().collect();
+        let Role::Leader(lead) = &mut self.role else { return };
+        let Some(progress) = lead.progress(to) else { return };
         (progress.next, progress.sent) = (prev + 1 + entries.len() as u64, now);
         if !entries.is_empty() {
             progress.out_since.get_or_insert(now);
+            progress.flight += entries.iter().map(|entry| entry.data.len() + ENTRY_BYTES).sum::<usize>();
         }
         let counts = progress.welcome;
         let prev_term = self.term_at(prev).unwrap_or(0);
--- a/overland/src/agreement/role.rs
+++ b/overland/src/agreement/role.rs
@@ -1,5 +1,6 @@
 //! What a member is to the others, and what a leader knows of each.
 
+use super::snapshot::Sending;
 use super::Name;
 use cherrytally::Millis;
 use std::collections::{BTreeMap, BTreeSet};
@@ -73,6 +74,10 @@
     pub(super) counts: bool,
     /// It has all that was agreed on, so its word may count.
     pub(super) welcome: bool,
+    /// The state that it is sent, where the log no longer reaches back to it.
+    pub(super) sending: Option<Sending>,
+    /// Bytes of entries that were sent since it last had answered for all.
+    pub(super) flight: usize,
     /// Since when something is out that it has not answered.
     pub(super) out_since: Option<Millis>,
     pub(super) sent: Millis,
@@ -85,6 +90,16 @@
     pub(super) fn new(next: u64, now: Millis) -> Self {
         let (matched, counts, welcome, out_since) = (0, false, false, None);
         let (sent, heard, asked) = (f64::NEG_INFINITY, now, f64::NEG_INFINITY);
-        Progress { next, matched, counts, welcome, out_since, sent, heard, asked }
+        Progress { next, matched, counts, welcome, sending: None, flight: 0, out_since, sent, heard, asked }
+    }
+
+    /// It answered what was sent then.
+    pub(super) fn answered(&mut self, now: Millis, at: Millis, counts: bool) {
+        (self.heard, self.asked) = (now, self.asked.max(at));
+        if self.counts && !counts {
+            // Its disk is new: what it held is gone.
+            (self.matched, self.welcome) = (0, false);
+        }
+        self.counts = counts;
     }
 }
--- a/overland/src/member/joining.rs
+++ b/overland/src/member/joining.rs
@@ -39,6 +39,7 @@
                 if !self.leads() && self.state.mend(now, mend) {
                     log::warn!("core: mended: {names}");
                     self.digest.forget();
+                    self.unread = false;
                 }
             }
             Word::Join(_) => match self.agreement.leader().cloned() {
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -35,8 +35,9 @@
 pub const TICK_MS: Millis = 25.0;
 /// A caller waits a second for an answer; it has one before that, in ms.
 pub const CALL_MS: Millis = 850.0;
-/// Log entries before the state takes their place.
-const LOG_MOST: usize = 512;
+/// After so many changes the state takes the place of the log before them. All members have the same states at the same
+/// numbers then, as far as no backend is cold: what came of one goes on at the next leader.
+const LOG_MOST: u64 = 512;
 /// A leader with a slow disk hands over no more often, in ms: with all disks slow there is nobody better.
 const HAND_AGAIN_MS: Millis = 10_000.0;
 
@@ -196,6 +197,8 @@
     /// What it is to be told after that.
     next: VecDeque<Next>,
     saving: bool,
+    /// A change was agreed on that can't be read here: another should lead.
+    unread: bool,
     /// The state has changed since agents were last told.
     applied: bool,
     /// The agents were told that it leads.
@@ -221,8 +224,27 @@
     ) -> Result<(Member, Option<Save>)> {
         let address = settings.control.ok_or_else(|| eyre!("network.docks_at.control is missing"))?;
         let me = address.to_string();
+        let mut whole = Whole::default();
+        let mut damaged = false;
+        if let Some(saved) = &disk {
+            match Whole::decode(&saved.base.state[..]) {
+                Ok(read) => whole = read,
+                Err(_) => damaged = true,
+            }
+        }
+        // A disk that can't be read is as good as an empty one that has forgotten its vote: it founds nothing, votes for
+        // nobody at first and counts only once a leader has filled it up.
+        let lost = damaged.then(|| {
+            log::error!("core: the state on disk can't be read: it is filled up from the others");
+            Saved::default()
+        });
+        let disk = lost.or(disk);
         let founds = disk.is_none() && settings.first_start && settings.seeds.contains(&address);
         let (saved, first) = match disk {
+            Some(saved) if damaged => {
+                let (vow, base) = (saved.vow.clone(), Some(saved.base.clone()));
+                (saved, Some(Save { vow, entries: Some((0, Vec::new())), base }))
+            }
             Some(saved) => (saved, None),
             None if founds => {
                 let saved = Agreement::found(settings.seeds.iter().map(SocketAddr::to_string).collect());
@@ -237,12 +259,10 @@
             saved.base.index,
             if founds { "founds" } else { "known" }
         );
-        let whole =
-            Whole::decode(&saved.base.state[..]).map_err(|_| eyre!("the state on disk can't be read"))?;
         let state = State { index: saved.base.index, ..State::from_whole(now, whole) };
         let member = Member {
             seeds: settings.seeds.clone(),
-            agreement: Agreement::new(me.clone(), saved, seed, now),
+            agreement: Agreement::new(me.clone(), saved, seed, now).reading(readable),
             settings,
             me,
             state,
@@ -250,6 +270,7 @@
             behind: VecDeque::new(),
             next: VecDeque::new(),
             saving: false,
+            unread: false,
             applied: false,
             told: false,
             pace: Pace::default(),
@@ -288,7 +309,7 @@
 
     /// Whether it may answer for all.
     fn vouches(&self, now: Millis) -> bool {
-        self.agreement.vouches(now)
+        !self.unread && self.agreement.vouches(now)
     }
 
     /// Takes in one event and appends what is to be done.
@@ -334,6 +355,9 @@
     /// What is done now and then.
     fn keep_house(&mut self, now: Millis, out: &mut Vec<Action>) {
         self.ask_to_join(out);
+        if self.unread && self.leads() {
+            self.next.push_back(Next::Event(agreement::Event::Resign));
+        }
         self.agents.retain(|_, agent| now - agent.heard < presence::GONE_MS);
         if !self.vouches(now) {
             return;
@@ -364,7 +388,6 @@
             if let Some(action) = self.behind.pop_front() {
                 self.act(now, action, out);
             } else if std::mem::take(&mut self.applied) {
-                self.compact(now);
                 self.push(now, out);
                 if self.vouches(now) && !std::mem::replace(&mut self.told, true) {
                     self.pulse(now, out);
@@ -419,7 +442,7 @@
             agreement::Action::Restore { index, state } => match Whole::decode(&state[..]) {
                 Ok(whole) => {
                     self.state = State { index, ..State::from_whole(now, whole) };
-                    self.applied = true;
+                    (self.applied, self.unread) = (true, false);
                 }
                 Err(_) => out.push(Action::Stop(format!("the state {index} that was sent can't be read"))),
             },
@@ -429,7 +452,16 @@
 
     fn apply(&mut self, now: Millis, entry: &Entry, out: &mut Vec<Action>) {
         self.applied = true;
-        let touched = self.state.apply(now, entry.index, change_in(entry).as_ref());
+        let change = change_in(entry);
+        if !entry.data.is_empty() && change.as_ref().is_none_or(|change| change.kind.is_none()) {
+            log::error!(
+                "core: change {} can't be read: it does not lead until its copy is mended",
+                entry.index
+            );
+            self.unread = true;
+        }
+        let touched = self.state.apply(now, entry.index, change.as_ref());
+        self.compact(now);
         if touched == Touched::Config {
             self.take_limits();
         }
@@ -473,13 +505,14 @@
         }
     }
 
+    /// The state takes the place of the log so far, at the same numbers at all members.
     fn compact(&mut self, now: Millis) {
-        if self.agreement.log_length() < LOG_MOST {
+        if !self.state.index.is_multiple_of(LOG_MOST) {
             return;
         }
         let state = self.state.whole(now, true).encode_to_vec();
         let mut actions = Vec::new();
-        self.agreement.compact(state, &mut actions);
+        self.agreement.compact(self.state.index, state, &mut actions);
         self.behind.extend(actions);
     }
 
@@ -557,6 +590,11 @@
 /// What comes of a call to a member.
 type Granted<A> = Result<Outcome<A, Wait>, Refusal>;
 
+/// Whether a state can be read.
+fn readable(state: &[u8]) -> bool {
+    Whole::decode(state).is_ok()
+}
+
 /// The change in an entry; none in those of the agreement's own.
 fn change_in(entry: &Entry) -> Option<Change> {
     Change::decode(&entry.data[..]).ok().filter(|_| !entry.data.is_empty())
--- a/overland/tests/catching_up.rs
+++ b/overland/tests/catching_up.rs
@@ -2,6 +2,9 @@
 
 mod simulated;
 
+use overland::agreement::{Base, Install, Letter, Saved, Say, Vow};
+use overland::member::{Action, Event, Member};
+use overland::news::Word;
 use overland::state::Known;
 use simulated::World;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -137,3 +140,92 @@
 fn a_late_beat_that_counts_is_found() {
     assert!(found(40, |seed| late_beats(seed, true)), "no history finds it");
 }
+
+/// One member with this disk that was filled before, alone with a test that speaks for the others.
+struct Alone {
+    member: Member,
+    now: f64,
+}
+
+impl Alone {
+    fn start(disk: Option<Saved>) -> (Self, Option<overland::agreement::Save>) {
+        let seeds = (0..3).map(simulated::core_address).collect();
+        let settings = simulated::settings("core-0".into(), Some(simulated::core_address(0)), seeds, true);
+        let (member, first) = Member::start(settings, disk, 1, 0.0).expect("it starts");
+        (Alone { member, now: 0.0 }, first)
+    }
+
+    /// What it does at an event, and at all saves that it wants.
+    fn handle(&mut self, event: Event) -> Vec<Action> {
+        let (mut all, mut next) = (Vec::new(), Some(event));
+        while let Some(event) = next.take() {
+            let mut out = Vec::new();
+            self.member.handle(self.now, event, &mut out);
+            if matches!(out.last(), Some(Action::Save(_))) {
+                next = Some(Event::Saved { took_ms: 1.0 });
+            }
+            all.extend(out);
+        }
+        all
+    }
+
+    fn hear(&mut self, say: Say) -> Vec<Action> {
+        let from = simulated::core_address(1).to_string();
+        self.handle(Event::Heard { from, word: Word::Agreement(Letter { say: Some(say) }) })
+    }
+
+    /// It is left alone for so long: what it says to others.
+    fn said(&mut self, for_ms: f64) -> Vec<Say> {
+        let until = self.now + for_ms;
+        let mut said = Vec::new();
+        while self.now < until {
+            self.now += 25.0;
+            for action in self.handle(Event::Tick) {
+                if let Action::Tell { word: Word::Agreement(Letter { say: Some(say) }), .. } = action {
+                    said.push(say);
+                }
+            }
+        }
+        said
+    }
+}
+
+fn members() -> Vec<String> {
+    (0..3).map(|number| simulated::core_address(number).to_string()).collect()
+}
+
+/// Not a state: a length that leads past the end.
+const GARBAGE: &[u8] = &[0x12, 0x7f, 1, 2, 3];
+
+#[test]
+fn a_state_that_cant_be_read_is_neither_saved_nor_followed() {
+    let (mut alone, _) = Alone::start(Some(Saved::default()));
+    let (term, index, last_term, members, at) = (3, 700, 2, members(), 1.0);
+    let install = Install { term, index, last_term, members, state: GARBAGE.to_vec(), at };
+    let actions = alone.hear(Say::Install(install.clone()));
+    let kept = actions.iter().any(|action| matches!(action, Action::Save(save) if save.base.is_some()));
+    assert!(!kept, "it is on disk");
+    assert!(!actions.iter().any(|action| matches!(action, Action::Stop(_))), "the process ends");
+    let took = actions.iter().any(|action| {
+        matches!(action, Action::Tell { word: Word::Agreement(Letter { say: Some(Say::Appended(_)) }), .. })
+    });
+    assert!(!took && alone.member.state().index == 0);
+    // One that can be read is taken.
+    let actions = alone.hear(Say::Install(Install { state: Vec::new(), ..install }));
+    assert!(actions.iter().any(|action| matches!(action, Action::Save(save) if save.base.is_some())));
+    assert_eq!(alone.member.state().index, 700);
+}
+
+#[test]
+fn a_start_from_a_damaged_disk_is_one_from_an_empty_disk() {
+    let vow = Vow { term: 4, vote: None, counts: true };
+    let base = Base { index: 512, term: 3, members: members(), state: GARBAGE.to_vec() };
+    let (mut alone, first) = Alone::start(Some(Saved { vow, base, entries: Vec::new() }));
+    let first = first.expect("the disk is emptied");
+    assert_eq!((first.base, first.entries), (Some(Base::default()), Some((0, Vec::new()))));
+    assert!(!first.vow.counts);
+    // It asks nobody for a vote, and founds nothing, though the settings name a first start.
+    let said = alone.said(10_000.0);
+    assert!(!said.iter().any(|say| matches!(say, Say::VoteAsk(_))), "it wants to lead");
+    assert!(alone.member.agreement().members().is_empty());
+}
--- a/overland/tests/histories/mod.rs
+++ b/overland/tests/histories/mod.rs
@@ -2,7 +2,7 @@
 //! kills at every step, slow processes and wiped disks. A history may be played with a fault in the program, too.
 #![allow(dead_code)] // Each test program takes what it needs of it.
 
-use overland::agreement::{Action, Agreement, Event, Save, Saved, Say};
+use overland::agreement::{Action, Agreement, Event, Save, Saved, Say, Sizes};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What has been agreed on, as plainly as can be: one list. Whoever applies an entry must find it there, or adds it.
@@ -103,6 +103,8 @@
     proposed: u64,
     loss: f64,
     compacts: bool,
+    /// Which size of pieces, and which tail.
+    sizes: (usize, usize),
     mutant: Option<Mutant>,
     /// Members die right after they have voted, now and then, and start again at once.
     pub nervous: bool,
@@ -136,6 +138,7 @@
             proposed: 0,
             loss,
             compacts,
+            sizes: (seed as usize % 3, seed as usize / 3 % 2),
             mutant,
             nervous,
             troubled: false,
@@ -165,7 +168,14 @@
         }
         let machine = &mut self.machines[number];
         machine.state = decode(&saved.base.state);
-        machine.running = Some(Agreement::new(name(number), saved, self.rng.u64(..), self.now));
+        let agreement = Agreement::new(name(number), saved, self.rng.u64(..), self.now);
+        // In some histories the log keeps nothing that the state holds, and in some a state comes in many pieces.
+        let sizes = Sizes {
+            piece: [1000, 3000, 1 << 15][self.sizes.0],
+            tail: [0, 30][self.sizes.1],
+            tail_bytes: 1 << 16,
+        };
+        machine.running = Some(agreement.sized(sizes));
     }
 
     fn kill(&mut self, number: usize) {
@@ -209,7 +219,7 @@
         }
         if self.compacts && agreement.log_length() > 80 {
             let mut actions = Vec::new();
-            agreement.compact(encode(&machine.state), &mut actions);
+            agreement.compact(agreement.applied(), encode(&machine.state), &mut actions);
             for action in actions {
                 self.act(number, action);
             }
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -216,7 +216,7 @@
     }
 }
 
-fn settings(
+pub fn settings(
     node: String, control: Option<SocketAddr>, seeds: Vec<SocketAddr>, first_start: bool,
 ) -> Settings {
     Settings {
