Tell a leader from where on logs agree at once, where a follower has entries of an older term

Ruled out: pieces and the bound of bytes in flight (the log had not been compacted; nothing was held back). Change: where it has another entry it names what it knows to be agreed on, which is the same everywhere.

--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -508,8 +508,12 @@
             prev = self.base.index;
         }
         if prev == append.prev && self.term_at(prev) != Some(append.prev_term) {
-            // It has other entries there, or none: from where they may agree is told.
+            // It has none there: from where they may agree is told. Or it has others: what is agreed on is the same, and one
+            // step back after the other would never end while answers overtake each other and entries go on coming.
             answer.matched = self.last().min(append.prev.saturating_sub(1));
+            if self.term_at(prev).is_some() {
+                answer.matched = answer.matched.min(self.commit);
+            }
             actions.push(Action::Send { to: from, say: Say::Appended(answer) });
             return;
         }
--- a/overland/tests/agreement.rs
+++ b/overland/tests/agreement.rs
@@ -72,3 +72,28 @@
     assert_eq!((follower.last(), follower.applied()), (9, 9));
     assert!(actions.iter().any(|action| matches!(action, Action::Restore { index: 9, .. })));
 }
+
+#[test]
+fn a_follower_with_entries_of_an_older_term_says_what_is_agreed_on() {
+    // Ten entries of term 1, of which three are agreed on.
+    let saved = Agreement::found((0..3).map(|number| format!("core{number}")).collect());
+    let mut follower = Agreement::new("core1".into(), saved, 7, 0.0);
+    let hear = |follower: &mut Agreement, term, prev, prev_term, entries: Vec<Entry>, commit| {
+        let append = Append { term, prev, prev_term, entries, commit, counts: true, at: 5.0 };
+        let mut actions = Vec::new();
+        let event = Event::Heard { from: format!("core{term}"), say: Say::Append(append) };
+        follower.handle(10.0, event, &mut actions);
+        let answer = actions.iter().find_map(|action| match action {
+            Action::Send { say: Say::Appended(answer), .. } => Some((answer.ok, answer.matched)),
+            _ => None,
+        });
+        answer.expect("an answer")
+    };
+    let entry = |term, index: u64| Entry { index, term, data: vec![index as u8], new_members: Vec::new() };
+    let old = (2..12).map(|index| entry(1, index)).collect();
+    assert_eq!(hear(&mut follower, 1, 1, 0, old, 4), (true, 11));
+    // The next leader has others from the fifth on, and tries its last first.
+    assert_eq!(hear(&mut follower, 2, 10, 2, Vec::new(), 4), (false, 4));
+    let new = (5..11).map(|index| entry(2, index)).collect();
+    assert_eq!(hear(&mut follower, 2, 4, 1, new, 10), (true, 10));
+}
