--- a/overland/tests/catching_up.rs
+++ b/overland/tests/catching_up.rs
@@ -181,7 +181,8 @@
         while self.now < until {
             self.now += 25.0;
             for action in self.handle(Event::Tick) {
-                if let Action::Tell { word: Word::Agreement(Letter { say: Some(say) }), .. } = action {
+                let Action::Tell { word, .. } = action else { continue };
+                if let Word::Agreement(Letter { say: Some(say) }) = *word {
                     said.push(say);
                 }
             }
@@ -207,7 +208,8 @@
     assert!(!kept, "it is on disk");
     assert!(!actions.iter().any(|action| matches!(action, Action::Stop(_))), "the process ends");
     let took = actions.iter().any(|action| {
-        matches!(action, Action::Tell { word: Word::Agreement(Letter { say: Some(Say::Appended(_)) }), .. })
+        let Action::Tell { word, .. } = action else { return false };
+        matches!(**word, Word::Agreement(Letter { say: Some(Say::Appended(_)) }))
     });
     assert!(!took && alone.member.state().index == 0);
     // One that can be read is taken.
