Tell no gateway that it is up to date before the agreed state names it

Cause: a change is acknowledged once all gateways of the agreed state hold it or have heard of no leader for long. A gateway that had just come was told that it is up to date at once, and entered the state up to half a second later. Where it was cut off and the leader lost in between, the next leader did not know of it, and it went by older keys for 8.1 s.

Ruled out: waiting for all that this leader has told beside those of the state: the next leader knows nothing of them. Waiting for `settle` after each change of leader: all changes would wait 3.6 s.

Change: where `closed` is set, the leader's word to a gateway that the state does not name tells the highest number there is, which no copy holds, so that its agent stays out of date; earlier agents read it the same. The gateway is proposed with its first word, not at the next round.

The histories of orders are in simulated/racers.rs now, for the mutants; they also cut gateways off for longer than 8.1 s.

--- a/overland/src/member/push.rs
+++ b/overland/src/member/push.rs
@@ -1,6 +1,6 @@
 //! What agents are told: who leads, and numbered changes.
 
-use super::{change_in, Action, Member};
+use super::{change_in, Action, Member, Next};
 use crate::agreement::{Entry, Name};
 use crate::news::{Change, FromAgent, Gateway, Kind, Numbered, Pulse, ToAgent};
 use cherrytally::Millis;
@@ -21,7 +21,6 @@
     /// An agent said something.
     pub(super) fn agent_said(&mut self, now: Millis, link: u64, mut word: FromAgent, out: &mut Vec<Action>) {
         let leads = self.vouches(now);
-        let mut pulse = self.pulse_at(word.at, leads);
         let members = self.agreement.members().to_vec();
         let (follows, held, applied) = (word.follows, word.held, word.applied);
         let ranges = word.ranges.take().filter(|_| leads);
@@ -40,11 +39,15 @@
         if !follows {
             agent.sent = held;
         }
-        if agent.members != members {
-            (agent.members, pulse.members) = (members.clone(), members);
-        }
+        let told = if agent.members == members { Vec::new() } else { members.clone() };
+        agent.members = members;
+        let (gateway, at) = (agent.gateway.clone(), agent.word.at);
+        let pulse = Pulse { members: told, ..self.pulse_at(at, leads, &gateway) };
         if leads {
-            self.presence.told(now, &agent.gateway.node, applied);
+            self.presence.told(now, &gateway.node, applied);
+        }
+        if leads && !self.is_named(&gateway) && !gateway.front.is_empty() {
+            self.next.push_back(Next::Propose(Kind::Gateway(gateway), None));
         }
         if follows {
             self.push_to(now, link, out);
@@ -60,17 +63,24 @@
     pub(super) fn pulse(&self, now: Millis, out: &mut Vec<Action>) {
         let leads = self.vouches(now);
         for (link, agent) in &self.agents {
-            let pulse = Some(self.pulse_at(agent.word.at, leads));
+            let pulse = Some(self.pulse_at(agent.word.at, leads, &agent.gateway));
             let news = Box::new(ToAgent { pulse, ..ToAgent::default() });
             out.push(Action::Say { link: *link, news });
         }
     }
 
-    /// The answer to a word that was sent then.
-    fn pulse_at(&self, at: Millis, leads: bool) -> Pulse {
+    /// Whether the agreed state names a gateway, as far as that matters: a leader that comes next waits for those that it
+    /// names until they hold a change, and knows of no others.
+    fn is_named(&self, gateway: &Gateway) -> bool {
+        !self.settings.bounds.closed || self.state.gateways.contains_key(&gateway.node)
+    }
+
+    /// The answer to a word that was sent then. A gateway that is not named yet is up to date by no number.
+    fn pulse_at(&self, at: Millis, leads: bool, gateway: &Gateway) -> Pulse {
         let digest = if leads { self.digest.of(&self.state) } else { 0 };
         let (term, members) = (self.agreement.term(), Vec::new());
-        Pulse { at, leads, term, index: self.state.index, members, digest }
+        let index = if self.is_named(gateway) { self.state.index } else { u64::MAX };
+        Pulse { at, leads, term, index, members, digest }
     }
 
     /// Sends all agents that follow what is new.
--- a/overland/src/news.rs
+++ b/overland/src/news.rs
@@ -286,7 +286,7 @@
     /// The term of who leads, as far as it knows.
     #[prost(uint64, tag = "3")]
     pub term: u64,
-    /// The number of the last change it has applied.
+    /// The number of the last change it has applied; the highest of all to a gateway that no copy is to be up to date for.
     #[prost(uint64, tag = "4")]
     pub index: u64,
     /// The members of the core, in the first answer on a link and where they have changed.
--- a/overland/tests/orders.rs
+++ b/overland/tests/orders.rs
@@ -20,66 +20,9 @@
     }
 }
 
-/// Leaders are cut off, killed, stand still and end, disks are slow, gateways come and go, letters are lost, until all
-/// orders are sent; then calm comes.
-fn trouble(world: &mut World, longest: f64, twice: f64) {
-    let most = world.rng.f64();
-    for _ in 0..400 {
-        if world.racers.left == 0 {
-            break;
-        }
-        world.luck.loss = if world.rng.bool() { 0.0 } else { world.rng.f64() * 0.6 * most };
-        world.luck.twice = world.rng.f64() * twice * most;
-        let leader = world.leader();
-        match (world.rng.u32(0..12), leader) {
-            (0, Some(leader)) => {
-                let all = (0..world.cores.len()).map(Place::Core).collect::<Vec<_>>();
-                match world.rng.u32(0..3) {
-                    0 => world.cut_off(Place::Core(leader), all),
-                    1 => world.cuts.extend(all.iter().map(|other| (Place::Core(leader), *other))),
-                    _ => world.cuts.extend(all.iter().map(|other| (*other, Place::Core(leader)))),
-                }
-            }
-            (1, Some(leader)) => {
-                world.kill_core(leader);
-                world.start_later(Place::Core(leader), 200.0);
-            }
-            (2, Some(leader)) => {
-                let for_ms = world.rng.f64() * 2500.0;
-                world.freeze_core(leader, for_ms);
-            }
-            (3, Some(leader)) => world.cores[leader].sync_ms = world.rng.f64() * 900.0,
-            (4, Some(leader)) => world.input(leader, simulated::Input::End),
-            (5, _) => {
-                let gateway = world.rng.usize(0..world.gateways.len());
-                world.kill_gateway(gateway);
-                world.start_later(Place::Gateway(gateway), 300.0);
-            }
-            _ => {}
-        }
-        let for_ms = world.rng.f64() * longest;
-        world.pass(world.now + for_ms);
-        world.cuts.clear();
-        world.cores.iter_mut().for_each(|core| core.sync_ms = 0.5);
-    }
-    world.settle(15_000.0);
-    racers::finish(world);
-    racers::finish_zones(world);
-}
-
-/// Orders race while all that goes on.
-fn race(seed: u64, slots: usize, orders: usize) -> World {
-    let mut world = World::new(seed, [3, 5][seed as usize % 2], 0, 4, 0, 0);
-    world.begin();
-    racers::begin(&mut world, slots, orders);
-    world.luck.ack_loss = world.rng.f64() * 0.5;
-    trouble(&mut world, 2000.0, 0.2);
-    world
-}
-
 #[test]
 fn one_number_is_one_configuration_and_an_order_sent_again_is_not_refused() {
-    histories(6, |seed| drop(race(seed, 8, 400)));
+    histories(6, |seed| drop(racers::race(seed, 8, 400, None)));
 }
 
 /// A zone is emptied and taken back by turns: each order is sent again until it is acknowledged, and none takes effect
@@ -94,7 +37,33 @@
         world.luck.ack_loss = world.rng.f64() * 0.5;
         world.pass(3000.0);
         // Links lose what is on them, and double nothing: an order without a number can't be told from its double.
-        trouble(&mut world, 4000.0, 0.0);
+        racers::trouble(&mut world, 4000.0, 0.0);
+    });
+}
+
+/// A gateway that has just come is cut off as soon as it goes by keys, and the leader is killed: the next one doesn't
+/// acknowledge a change while that gateway goes by older keys.
+#[test]
+fn a_gateway_that_has_just_come_is_waited_for() {
+    histories(8, |seed| {
+        let mut world = World::new(seed, 3, 0, 3, 0, 0);
+        world.begin();
+        world.kill_gateway(2);
+        racers::begin(&mut world, 2, 400);
+        let for_ms = world.rng.f64() * 1000.0;
+        world.pass(4000.0 + for_ms);
+        world.start_gateway(2);
+        while !world.goes_by_keys(2) && world.now < 20_000.0 {
+            world.pass(world.now + 1.0);
+        }
+        let cores = (0..3).map(Place::Core).collect::<Vec<_>>();
+        world.cut_off(Place::Gateway(2), cores);
+        if let Some(leader) = world.leader() {
+            world.kill_core(leader);
+        }
+        world.pass(world.now + 12_000.0);
+        world.settle(12_000.0);
+        racers::finish(&world);
     });
 }
 
--- a/overland/tests/simulated/callers.rs
+++ b/overland/tests/simulated/callers.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// The call that this caller waits for.
+    pub fn token(&self, who: Who) -> Option<u64> {
+        self.waits.iter().find(|(_, waits)| **waits == who).map(|(token, _)| *token)
+    }
+
     pub fn all(&self) -> Vec<Who> {
         let backends = (0..self.backends.len()).map(Who::Backend);
         backends.chain((0..self.operators.len()).map(Who::Operator)).collect()
@@ -141,9 +146,12 @@
     }
 }
 
-pub fn ask(world: &mut World, who: Who, core: usize, method: &'static str, path: String, body: Vec<u8>) {
+pub fn ask(
+    world: &mut World, who: Who, core: usize, method: &'static str, path: String, body: Vec<u8>,
+) -> u64 {
     let token = world.call(core, method, path, body);
     world.callers.waits.insert(token, who);
+    token
 }
 
 fn any_core(world: &mut World) -> usize {
@@ -185,7 +193,8 @@
     let core = backend.target.unwrap_or(any);
     let who = Who::Backend(place);
     if let Phase::Leaving(_) = backend.phase {
-        return ask(world, who, core, "POST", format!("/api/Instances.Leave/{id}"), Vec::new());
+        ask(world, who, core, "POST", format!("/api/Instances.Leave/{id}"), Vec::new());
+        return;
     }
     backend.postmark += 1;
     let state = if backend.phase == Phase::Open { "open" } else { "closing" };
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -360,6 +360,12 @@
         self.now = until;
     }
 
+    /// A call is answered so, whoever is asked.
+    pub fn answer_later(&mut self, token: u64, reply: Reply) {
+        let delay = self.delay();
+        self.at(delay, What::Answered(token, Some(reply)));
+    }
+
     fn happen(&mut self, what: What) {
         match what {
             What::Core(core, life, input) => {
@@ -550,7 +556,10 @@
 
     fn act(&mut self, number: usize, action: Action) {
         match action {
-            Action::Save(save) => {
+            Action::Save(mut save) => {
+                if let Some(mutant) = self.racers.mutant {
+                    mutant.save(&mut save);
+                }
                 let core = &mut self.cores[number];
                 keep(&mut core.disk, *save);
                 let took_ms = core.sync_ms;
@@ -585,7 +594,10 @@
         }
     }
 
-    fn tell(&mut self, number: usize, from: String, to: &str, word: Word) {
+    fn tell(&mut self, number: usize, from: String, to: &str, mut word: Word) {
+        if let Some(mutant) = self.racers.mutant {
+            mutant.letter(&mut word);
+        }
         let Some(to) = core_number(to).filter(|to| *to < self.cores.len()) else { return };
         let times = if self.rng.f64() < self.luck.twice { 2 } else { 1 };
         for _ in 0..times {
--- a/overland/tests/simulated/racers.rs
+++ b/overland/tests/simulated/racers.rs
@@ -3,8 +3,11 @@
 //! process and in other bytes, some once more after that. The judge's list of versions is what they are held against.
 
 use super::callers::{configuration, read_back, Who};
-use super::World;
+use super::{Place, World};
+use overland::agreement::{Letter, Save, Say};
 use overland::calls::Reply;
+use overland::news::{Change, Kind, Whole, Word};
+use prost::Message;
 use std::collections::BTreeMap;
 
 /// An order is sent again and again for so long, in ms.
@@ -50,8 +53,62 @@
     pub under_way: usize,
 }
 
+/// A fault of the program, brought about by what surrounds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutant {
+    /// An entry that reaches another member no longer tells what it builds on: it is taken there whatever stands.
+    ComparedAtProposingAlone,
+    /// A state on disk or on its way to another member holds nothing of orders.
+    ForgottenAtASnapshot,
+    /// Another order under a number that was taken is acknowledged.
+    KnownByNumberAlone,
+    /// An order is acknowledged as soon as one member has it.
+    AnsweredBeforeForce,
+    /// An order that is given up is refused.
+    RefusedWhenGivenUp,
+    /// A read is answered by whoever is asked.
+    ReadAnywhere,
+}
+
+impl Mutant {
+    /// What it makes of a state that is kept or sent.
+    fn state(self, bytes: &mut Vec<u8>) {
+        let Ok(mut whole) = Whole::decode(&bytes[..]) else { return };
+        if self == Mutant::ForgottenAtASnapshot {
+            (whole.orders, whole.calls) = (None, Vec::new());
+            *bytes = whole.encode_to_vec();
+        }
+    }
+
+    /// What it makes of a save.
+    pub fn save(self, save: &mut Save) {
+        if let Some(base) = &mut save.base {
+            self.state(&mut base.state);
+        }
+    }
+
+    /// What it makes of a letter.
+    pub fn letter(self, word: &mut Word) {
+        let Word::Agreement(Letter { say: Some(say) }) = word else { return };
+        match say {
+            Say::Install(install) => self.state(&mut install.state),
+            Say::Append(append) if self == Mutant::ComparedAtProposingAlone => {
+                for entry in append.entries.iter_mut().filter(|entry| !entry.data.is_empty()) {
+                    let Ok(mut change) = Change::decode(&entry.data[..]) else { continue };
+                    if let Some(Kind::Configured(config)) = &mut change.kind {
+                        config.based_on = None;
+                        entry.data = change.encode_to_vec();
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Racers {
+    pub mutant: Option<Mutant>,
     pub slots: Vec<Option<Task>>,
     /// The newest version that any operator knows of.
     pub known: u64,
@@ -186,14 +243,25 @@
     let body = task.order.bodies[which.min(task.order.bodies.len() - 1)].clone().into_bytes();
     let reads = task.order.mark.is_none() && task.order.zone.is_none();
     let (method, path) = (if reads { "GET" } else { "POST" }, task.order.path.clone());
-    super::callers::ask(world, Who::Racer(slot), core, method, path, body);
+    let token = super::callers::ask(world, Who::Racer(slot), core, method, path, body);
+    if let (true, Some(Mutant::ReadAnywhere)) = (reads, world.racers.mutant) {
+        let member = world.cores[core].running.as_ref();
+        if let Some(config) = member.and_then(|member| member.state().config.clone()) {
+            let reply = Reply { status: 200, body: config.text, after_ms: None };
+            world.answer_later(token, reply);
+        }
+    }
 }
 
 pub fn answered(world: &mut World, slot: usize, reply: Option<Reply>) {
     let now = world.now;
     let Some(task) = world.racers.slots[slot].take() else { return };
     let Task { order, first, asked, tries } = task;
-    let status = reply.as_ref().map_or(0, |reply| reply.status);
+    let status = match (world.racers.mutant, reply.as_ref().map_or(0, |reply| reply.status)) {
+        (Some(Mutant::KnownByNumberAlone), 412) if world.racers.seen.contains_key(&order.edition) => 200,
+        (Some(Mutant::RefusedWhenGivenUp), 503) if order.mark.is_some() && world.rng.u32(0..10) == 0 => 412,
+        (_, status) => status,
+    };
     let clear = match (status, order.mark) {
         (200, Some(mark)) => {
             assert!(order.valid, "mark {mark} is not valid, and was acknowledged");
@@ -237,6 +305,16 @@
 /// A core holds this configuration now.
 pub fn seen(world: &mut World, edition: u64, text: &str) {
     let (read, mark) = read_back(text).expect("a configuration");
+    if world.racers.mutant == Some(Mutant::AnsweredBeforeForce) {
+        let under_way = world.racers.slots.iter().enumerate();
+        let wants = |task: &Option<Task>| task.as_ref().is_some_and(|task| task.order.mark == Some(mark));
+        let slots: Vec<_> = under_way.filter(|(_, task)| wants(task)).map(|(slot, _)| slot).collect();
+        for slot in slots {
+            if let Some(token) = world.callers.token(Who::Racer(slot)) {
+                world.answer_later(token, Reply { status: 200, body: "{}".into(), after_ms: None });
+            }
+        }
+    }
     assert_eq!(read, edition);
     let was = *world.racers.seen.entry(edition).or_insert(mark);
     assert_eq!(was, mark, "r{edition} is mark {was} at one core and mark {mark} at another");
@@ -288,3 +366,70 @@
         }
     }
 }
+
+// ---- Histories ------------------------------------------------------------------------------------------------------
+
+/// Leaders are cut off, killed, stand still and end, disks are slow, gateways come and go, letters are lost, until all
+/// orders are sent; then calm comes.
+pub fn trouble(world: &mut World, longest: f64, twice: f64) {
+    let most = world.rng.f64();
+    for _ in 0..400 {
+        if world.racers.left == 0 {
+            break;
+        }
+        world.luck.loss = if world.rng.bool() { 0.0 } else { world.rng.f64() * 0.6 * most };
+        world.luck.twice = world.rng.f64() * twice * most;
+        let leader = world.leader();
+        match (world.rng.u32(0..12), leader) {
+            (0, Some(leader)) => {
+                let all = (0..world.cores.len()).map(Place::Core).collect::<Vec<_>>();
+                match world.rng.u32(0..3) {
+                    0 => world.cut_off(Place::Core(leader), all),
+                    1 => world.cuts.extend(all.iter().map(|other| (Place::Core(leader), *other))),
+                    _ => world.cuts.extend(all.iter().map(|other| (*other, Place::Core(leader)))),
+                }
+            }
+            (1, Some(leader)) => {
+                world.kill_core(leader);
+                world.start_later(Place::Core(leader), 200.0);
+            }
+            (2, Some(leader)) => {
+                let for_ms = world.rng.f64() * 2500.0;
+                world.freeze_core(leader, for_ms);
+            }
+            (3, Some(leader)) => world.cores[leader].sync_ms = world.rng.f64() * 900.0,
+            (4, Some(leader)) => world.input(leader, super::Input::End),
+            (6, _) => {
+                // A gateway that hears nobody goes by its keys for 8.1 s.
+                let gateway = Place::Gateway(world.rng.usize(0..world.gateways.len()));
+                let cores = (0..world.cores.len()).map(Place::Core).collect::<Vec<_>>();
+                world.cut_off(gateway, cores);
+                world.pass(world.now + 9_000.0);
+            }
+            (5, _) => {
+                let gateway = world.rng.usize(0..world.gateways.len());
+                world.kill_gateway(gateway);
+                world.start_later(Place::Gateway(gateway), 300.0);
+            }
+            _ => {}
+        }
+        let for_ms = world.rng.f64() * longest;
+        world.pass(world.now + for_ms);
+        world.cuts.clear();
+        world.cores.iter_mut().for_each(|core| core.sync_ms = 0.5);
+    }
+    world.settle(15_000.0);
+    finish(world);
+    finish_zones(world);
+}
+
+/// Orders race while all that goes on.
+pub fn race(seed: u64, slots: usize, orders: usize, mutant: Option<Mutant>) -> World {
+    let mut world = World::new(seed, [3, 5][seed as usize % 2], 0, 4, 0, 0);
+    world.begin();
+    begin(&mut world, slots, orders);
+    world.racers.mutant = mutant;
+    world.luck.ack_loss = world.rng.f64() * 0.5;
+    trouble(&mut world, 2000.0, 0.2);
+    world
+}
