Play thousands of changes with states in pieces; bound the log by its bytes, too

Need: after thousands of changes any member catches up, whatever was lost, wiped, slow or damaged on the way; and a log of 512 whole configurations is more than a process may have of memory. Change: the state takes the place of the log after 8 MiB of changes, too, at the same number at all members; a state in one letter carries its digest. The simulated system has links of a bandwidth, damage on the way, routes and restless backends. Mutants found: a state without its members (never caught up), an older state on disk under a newer number (copies differ). Entries that are applied twice were put in as a mutant, and change nothing: each tells what stands after it. Not found by 6 histories, and left out: a state on disk under its number plus one (the next beat of the same backend hides it).

--- a/overland/src/agreement/letter.rs
+++ b/overland/src/agreement/letter.rs
@@ -175,6 +175,9 @@
     /// When it was sent, by the leader's clock, in ms.
     #[prost(double, tag = "6")]
     pub at: f64,
+    /// The digest of number, term, members and state; none in those of earlier programs.
+    #[prost(fixed64, optional, tag = "7")]
+    pub digest: Option<u64>,
 }
 
 /// A piece of a state.
--- a/overland/src/agreement/snapshot.rs
+++ b/overland/src/agreement/snapshot.rs
@@ -37,8 +37,8 @@
 /// with beats, and a few configurations of the size that is designed for. What lacks more takes the state.
 const TAIL: (usize, usize) = (512, 1 << 20);
 /// And while a state is on its way, all behind it up to so many entries and bytes: with less a slow member would be sent
-/// one state after the other and never be done.
-const SENT_TAIL: (usize, usize) = (4096, 8 << 20);
+/// one state after the other and never be done. The state remembers 4,096 orders, more than that and the log.
+const SENT_TAIL: (usize, usize) = (3072, 8 << 20);
 /// A state that a member could not read is offered to it again after so long, in ms.
 const REFUSED_MS: f64 = 5000.0;
 
@@ -122,6 +122,11 @@
         Some(self.kept(index)?.take_while(move |entry| entry.index <= applied))
     }
 
+    /// Bytes of the changes in the log up to this number.
+    pub fn log_bytes(&self, index: u64) -> usize {
+        self.log.iter().take_while(|entry| entry.index <= index).map(|entry| entry.data.len()).sum()
+    }
+
     /// The log begins anew behind this number, at which the state was this. Nothing where it does already, or where that
     /// number is not applied.
     pub fn compact(&mut self, index: u64, state: Vec<u8>, actions: &mut Vec<Action>) {
@@ -188,7 +193,8 @@
         let first = sending.offset == 0;
         let say = if first && until == state.len() {
             let (members, state) = (members.clone(), bytes);
-            Say::Install(Install { term, index: *index, last_term: *last_term, members, state, at: now })
+            let (index, last_term, digest) = (*index, *last_term, Some(sending.digest));
+            Say::Install(Install { term, index, last_term, members, state, at: now, digest })
         } else {
             Say::Piece(Piece {
                 term,
@@ -231,8 +237,9 @@
 
     /// A whole state came in one letter.
     pub(super) fn install(&mut self, now: Millis, from: Name, install: Install, actions: &mut Vec<Action>) {
-        let Install { term, index, last_term, members, state, at } = install;
-        let (total, digest) = (state.len() as u64, digest(index, last_term, &members, &state));
+        let Install { term, index, last_term, members, state, at, digest } = install;
+        let digest = digest.unwrap_or_else(|| self::digest(index, last_term, &members, &state));
+        let total = state.len() as u64;
         let bytes = state;
         let piece = Piece { term, index, last_term, members, total, digest, offset: 0, bytes, at };
         self.piece(now, from, piece, actions);
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -39,6 +39,9 @@
 /// After so many changes the state takes the place of the log before them. All members have the same states at the same
 /// numbers then, as far as no backend is cold: what came of one goes on at the next leader.
 const LOG_MOST: u64 = 512;
+/// And after so many bytes of changes, at the same number at all members, too: a configuration of the size that is
+/// designed for has some MiB, and 512 of them would be more than a process may have of memory.
+const LOG_BYTES: usize = 8 << 20;
 /// A leader with a slow disk hands over no more often, in ms: with all disks slow there is nobody better.
 const HAND_AGAIN_MS: Millis = 10_000.0;
 
@@ -514,7 +517,8 @@
 
     /// The state takes the place of the log so far, at the same numbers at all members.
     fn compact(&mut self, now: Millis) {
-        if !self.state.index.is_multiple_of(LOG_MOST) {
+        let index = self.state.index;
+        if !index.is_multiple_of(LOG_MOST) && self.agreement.log_bytes(index) < LOG_BYTES {
             return;
         }
         let state = self.state.whole(now, true).encode_to_vec();
--- a/overland/tests/agreement.rs
+++ b/overland/tests/agreement.rs
@@ -61,7 +61,7 @@
     assert_eq!((follower.last(), follower.applied()), (5, 3));
     // The leader's log begins behind the fourth by now, and it has not heard the answer.
     let members: Vec<_> = (0..3).map(|number| format!("core{number}")).collect();
-    let install = Install { term: 1, index: 4, last_term: 1, members, state: vec![1], at: 6.0 };
+    let install = Install { term: 1, index: 4, last_term: 1, members, state: vec![1], at: 6.0, digest: None };
     let actions = hear(&mut follower, Say::Install(install.clone()));
     assert_eq!((follower.last(), follower.applied()), (5, 4), "the fifth is kept");
     assert!(actions.contains(&Action::Apply(entry(4))));
--- a/overland/tests/catching_up.rs
+++ b/overland/tests/catching_up.rs
@@ -6,7 +6,7 @@
 use overland::member::{Action, Event, Member};
 use overland::news::Word;
 use overland::state::Known;
-use simulated::World;
+use simulated::{Mutant, Place, World};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 /// Plays drawn histories, and tells the seed of one that fails.
@@ -181,8 +181,8 @@
         while self.now < until {
             self.now += 25.0;
             for action in self.handle(Event::Tick) {
-                if let Action::Tell { word: Word::Agreement(Letter { say: Some(say) }), .. } = action {
-                    said.push(say);
+                if let Action::Tell { word, .. } = action {
+                    said.extend(say_of(&word).cloned());
                 }
             }
         }
@@ -190,6 +190,13 @@
     }
 }
 
+fn say_of(word: &Word) -> Option<&Say> {
+    match word {
+        Word::Agreement(letter) => letter.say.as_ref(),
+        _ => None,
+    }
+}
+
 fn members() -> Vec<String> {
     (0..3).map(|number| simulated::core_address(number).to_string()).collect()
 }
@@ -201,14 +208,14 @@
 fn a_state_that_cant_be_read_is_neither_saved_nor_followed() {
     let (mut alone, _) = Alone::start(Some(Saved::default()));
     let (term, index, last_term, members, at) = (3, 700, 2, members(), 1.0);
-    let install = Install { term, index, last_term, members, state: GARBAGE.to_vec(), at };
+    let install = Install { term, index, last_term, members, state: GARBAGE.to_vec(), at, digest: None };
     let actions = alone.hear(Say::Install(install.clone()));
     let kept = actions.iter().any(|action| matches!(action, Action::Save(save) if save.base.is_some()));
     assert!(!kept, "it is on disk");
     assert!(!actions.iter().any(|action| matches!(action, Action::Stop(_))), "the process ends");
-    let took = actions.iter().any(|action| {
-        matches!(action, Action::Tell { word: Word::Agreement(Letter { say: Some(Say::Appended(_)) }), .. })
-    });
+    let took = actions.iter().any(
+        |action| matches!(action, Action::Tell { word, .. } if matches!(say_of(word), Some(Say::Appended(_)))),
+    );
     assert!(!took && alone.member.state().index == 0);
     // One that can be read is taken.
     let actions = alone.hear(Say::Install(Install { state: Vec::new(), ..install }));
@@ -229,3 +236,119 @@
     assert!(!said.iter().any(|say| matches!(say, Say::VoteAsk(_))), "it wants to lead");
     assert!(alone.member.agreement().members().is_empty());
 }
+
+/// A history of so many changes: 400 routes, backends that tell something new with each beat, and members that are
+/// killed, wiped, frozen, slow and cut off, the leader among them. A state goes in many pieces.
+fn long(seed: u64, changes: u64, with: impl Fn(&mut World)) -> World {
+    let founders = [3, 5][seed as usize % 2];
+    let mut world = World::new(seed, founders, 0, 2, 40, 2);
+    (world.callers.routes, world.callers.restless, world.callers.pause_ms) = (400, true, 6000.0);
+    with(&mut world);
+    world.begin();
+    watched(&mut world, 4000.0);
+    let mut stuck = 0;
+    while index(&world) < changes {
+        let before = index(&world);
+        trouble(&mut world);
+        stuck = if index(&world) > before { 0 } else { stuck + 1 };
+        assert!(stuck < 40, "nothing is agreed on any more at {:.0}", world.now);
+    }
+    (world.bytes_ms, world.callers.restless) = (f64::INFINITY, false);
+    world.settle(20_000.0);
+    alike(&world);
+    world
+}
+
+/// The number of the last change that anybody has.
+fn index(world: &World) -> u64 {
+    let running = world.cores.iter().filter_map(|core| core.running.as_ref());
+    running.map(|member| member.state().index).max().unwrap_or(0)
+}
+
+/// Whether all members are there and know all that is agreed on: another disk may be lost then.
+fn whole(world: &World) -> bool {
+    let agreed = index(world);
+    world.leader().is_some()
+        && world.cores.iter().all(|core| {
+            let near = core.running.as_ref().is_some_and(|member| member.state().index + 200 > agreed);
+            near && core.disk.as_ref().is_some_and(|disk| disk.vow.counts)
+        })
+}
+
+fn trouble(world: &mut World) {
+    let any = world.rng.usize(0..world.cores.len());
+    let for_ms = 200.0 + world.rng.f64() * 5000.0;
+    match world.rng.u32(0..8) {
+        0 => world.kill_core(any),
+        1 => {
+            if let Some(leader) = world.leader() {
+                world.kill_core(leader);
+            }
+        }
+        2 | 3 if whole(world) => {
+            world.kill_core(any);
+            world.cores[any].disk = None;
+            world.start_core(any, false);
+        }
+        4 => {
+            let all = (0..world.cores.len()).map(Place::Core).collect::<Vec<_>>();
+            world.cut_off(Place::Core(any), all);
+        }
+        5 => world.cores[any].sync_ms = 20.0,
+        6 => world.freeze_core(any, for_ms),
+        _ => {}
+    }
+    watched(world, for_ms);
+    world.cuts.clear();
+    world.cores.iter_mut().for_each(|core| core.sync_ms = 0.5);
+    (0..world.cores.len()).for_each(|core| world.start_core(core, false));
+    let calm_ms = 500.0 + world.rng.f64() * 4000.0;
+    watched(world, calm_ms);
+}
+
+/// All members hold the same, what orders beats and orders of operators with it.
+fn alike(world: &World) {
+    let lead = world.cores[leader(world)].running.as_ref().expect("it runs");
+    let whole = |member: &Member| {
+        let mut whole = member.state().whole(0.0, true);
+        whole.backends.iter_mut().for_each(|backend| backend.cold_ms = 0);
+        whole
+    };
+    for name in lead.agreement().members() {
+        let number = simulated::core_number(name).expect("a core process");
+        let member = world.cores[number].running.as_ref().expect("it runs");
+        assert_eq!(member.state().index, lead.state().index, "core {number} never caught up");
+        assert!(whole(member) == whole(lead), "the copy of core {number} differs");
+    }
+}
+
+#[test]
+fn after_thousands_of_changes_all_copies_are_one() {
+    let changes = if std::env::var("HISTORIES").is_ok() { 10_000 } else { 1200 };
+    histories(2, |seed| {
+        let world = long(seed, changes, |world| world.bytes_ms = [250.0, 125_000.0][seed as usize / 2 % 2]);
+        assert!(world.pieces > 0);
+    });
+}
+
+#[test]
+fn states_that_are_damaged_on_the_way_are_never_taken() {
+    histories(1, |seed| {
+        let world = long(seed + 100, 1200, |world| world.damage = 0.1);
+        assert!(world.pieces > 0);
+    });
+}
+
+#[test]
+fn what_is_wrong_with_snapshots_on_purpose_is_found() {
+    for mutant in [Mutant::NoMembers, Mutant::OldState] {
+        let found = found(6, |seed| drop(long(seed, 1200, |world| world.mutant = Some(mutant))));
+        assert!(found, "no history finds {mutant:?}");
+    }
+}
+
+/// Not a fault: each change tells what stands after it, and one that is older than what stands changes nothing.
+#[test]
+fn entries_that_are_applied_twice_change_nothing() {
+    histories(2, |seed| drop(long(seed, 1200, |world| world.mutant = Some(Mutant::AppliedTwice))));
+}
--- a/overland/tests/simulated/callers.rs
+++ b/overland/tests/simulated/callers.rs
@@ -90,6 +90,10 @@
     pub wishes: bool,
     /// A pause between two wishes of an operator, in ms.
     pub pause_ms: f64,
+    /// Routes of the configurations that operators want.
+    pub routes: usize,
+    /// Each beat tells something new of its backend.
+    pub restless: bool,
 }
 
 impl Callers {
@@ -102,6 +106,8 @@
             churn: true,
             wishes: true,
             pause_ms: 800.0,
+            routes: 1,
+            restless: false,
         }
     }
 
@@ -113,9 +119,22 @@
 
 /// A valid configuration of that version: one tenant with a key of its own, one route.
 pub fn configuration(edition: u64, based_on: u64, mark: u64) -> String {
+    configuration_of(edition, based_on, mark, 1)
+}
+
+/// And one of so many routes.
+pub fn configuration_of(edition: u64, based_on: u64, mark: u64, routes: usize) -> String {
     let based_on = if based_on == 0 { "0".to_owned() } else { format!("\"r{based_on}\"") };
+    let route = |n: usize| {
+        let (name, prefix) =
+            if n == 0 { (format!("r-{mark}"), "x".into()) } else { (format!("r-{n}"), format!("x{n}")) };
+        format!(
+            r#"{{"name":"{name}","kind":"safe","target":"500ms","priority":1,"unstamped":false,"sorting":{{"lane_prefix":"/{prefix}/"}},"dispatch":{{"service":"s","timeout":"1200ms","attempts":2,"home_regions":[]}}}}"#
+        )
+    };
+    let routes = (0..routes).map(route).collect::<Vec<_>>().join(",");
     format!(
-        r#"{{"edition":"r{edition}","limits":{{"label_bytes":16384,"body_bytes":1048576,"label_time":"3000ms","idle":"15000ms"}},"patrons":[{{"name":"t","stamps":["k{mark}"],"priority":0,"per_s":10,"burst":10,"home_regions":[]}}],"based_on":{based_on},"docks":[{{"depot":"a.example","regulations":[{{"name":"r-{mark}","kind":"safe","target":"500ms","priority":1,"unstamped":false,"sorting":{{"lane_prefix":"/x/"}},"dispatch":{{"service":"s","timeout":"1200ms","attempts":2,"home_regions":[]}}}}]}}],"fleets":[{{"name":"s","health_path":"/health","conn_cap":110,"cold":"3s","cold_per_s":4}}]}}"#
+        r#"{{"edition":"r{edition}","limits":{{"label_bytes":16384,"body_bytes":1048576,"label_time":"3000ms","idle":"15000ms"}},"patrons":[{{"name":"t","stamps":["k{mark}"],"priority":0,"per_s":10,"burst":10,"home_regions":[]}}],"based_on":{based_on},"docks":[{{"depot":"a.example","regulations":[{routes}]}}],"fleets":[{{"name":"s","health_path":"/health","conn_cap":110,"cold":"3s","cold_per_s":4}}]}}"#
     )
 }
 
@@ -189,9 +208,10 @@
     }
     backend.postmark += 1;
     let state = if backend.phase == Phase::Open { "open" } else { "closing" };
+    let berths = if world.callers.restless { 1 + backend.postmark % 7 } else { 2 };
     let zone = ["z1", "z2"][place % 2];
     let body = format!(
-        r#"{{"service":"s","address":"10.128.{place}.{}:80","zone":"{zone}","edition":"v1","berths":2,"state":"{state}","cold_time":"0ms","postmark":{}}}"#,
+        r#"{{"service":"s","address":"10.128.{place}.{}:80","zone":"{zone}","edition":"v1","berths":{berths},"state":"{state}","cold_time":"0ms","postmark":{}}}"#,
         backend.life % 200,
         backend.postmark
     );
@@ -237,7 +257,8 @@
     let believes = world.callers.operators[number].believes;
     let (wish, method, path, body) = if chance < 0.65 {
         let version = world.judge.version(now, believes + step, believes);
-        let body = configuration(believes + step, believes, version as u64).into_bytes();
+        let routes = world.callers.routes;
+        let body = configuration_of(believes + step, believes, version as u64, routes).into_bytes();
         (Wish::Version(version), "POST", "/api/Config.Put".to_owned(), body)
     } else if chance < 0.85 {
         // Each operator empties a zone of its own: the order of two operators' wishes would be nobody's.
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -11,13 +11,14 @@
 
 use callers::Callers;
 use judge::Judge;
-use overland::agreement::{Save, Saved};
+use overland::agreement::{Save, Saved, Say};
 use overland::calls::Reply;
 use overland::copy::Copy;
 use overland::follow::{self, Follow};
 use overland::member::{Action, Event, Member, TICK_MS};
-use overland::news::{FromAgent, ToAgent, ToProxy, Word};
+use overland::news::{CoreWord, FromAgent, ToAgent, ToProxy, Word};
 use overland::settings::{Bounds, Settings};
+use prost::Message;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -160,6 +161,17 @@
     pub ack_loss: f64,
 }
 
+/// What is deliberately wrong with snapshots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutant {
+    /// A state is sent without its members.
+    NoMembers,
+    /// Entries that a state holds stay on disk behind it, and are applied again.
+    AppliedTwice,
+    /// A state on disk is an older one.
+    OldState,
+}
+
 /// The system and all around it.
 pub struct World {
     pub rng: fastrand::Rng,
@@ -176,6 +188,16 @@
     pub late: f64,
     /// A mutant: what comes late counts as said last.
     pub late_counts: bool,
+    /// What a link between two core processes carries, in bytes a ms, and until when each is busy.
+    pub bytes_ms: f64,
+    busy: BTreeMap<(usize, usize), f64>,
+    /// Part of the states and their pieces in which a byte is another when they arrive.
+    pub damage: f64,
+    /// A mutant of the snapshots.
+    pub mutant: Option<Mutant>,
+    /// Pieces that were sent, and states that were put in place.
+    pub pieces: u64,
+    pub installs: u64,
     /// Calls on their way: to which core, in which of its lives.
     calls: BTreeMap<u64, (usize, u64, f64)>,
     pub callers: Callers,
@@ -299,6 +321,12 @@
             luck: Luck { loss: 0.0, twice: 0.0, kill: 0.0, ack_loss: 0.0 },
             late: 0.0,
             late_counts: false,
+            bytes_ms: f64::INFINITY,
+            busy: BTreeMap::new(),
+            damage: 0.0,
+            mutant: None,
+            pieces: 0,
+            installs: 0,
             calls: BTreeMap::new(),
             racers: racers::Racers::default(),
             judge: Judge::default(),
@@ -328,7 +356,7 @@
         self.cuts.clear();
         self.luck = Luck { loss: 0.0, twice: 0.0, kill: 0.0, ack_loss: 0.0 };
         (self.callers.churn, self.callers.wishes) = (false, false);
-        self.late = 0.0;
+        (self.late, self.damage) = (0.0, 0.0);
         (0..self.cores.len()).for_each(|core| self.start_core(core, false));
         (0..self.gateways.len()).for_each(|gateway| self.start_gateway(gateway));
         self.pass(self.now + for_ms);
@@ -552,7 +580,16 @@
         match action {
             Action::Save(save) => {
                 let core = &mut self.cores[number];
-                keep(&mut core.disk, *save);
+                let mut save = *save;
+                self.installs += u64::from(save.base.is_some() && save.entries.is_some());
+                match (self.mutant, &core.disk, &mut save.base) {
+                    (Some(Mutant::AppliedTwice), Some(disk), Some(base)) if save.entries.is_none() => {
+                        base.index = disk.base.index;
+                    }
+                    (Some(Mutant::OldState), Some(disk), Some(base)) => base.state = disk.base.state.clone(),
+                    _ => {}
+                }
+                keep(&mut core.disk, save);
                 let took_ms = core.sync_ms;
                 core.saved = Some(took_ms);
                 if took_ms > 1.0 {
@@ -594,8 +631,34 @@
                 continue;
             }
             let life = self.cores[to].life;
-            self.at(delay, What::Letter(number, to, life, from.clone(), Box::new(word.clone()), None));
+            let word = self.underway(word.clone());
+            let way = self.busy.entry((number, to)).or_insert(0.0);
+            if self.bytes_ms.is_finite() {
+                let length = CoreWord { from: from.clone(), word: Some(word.clone()) }.encoded_len();
+                *way = way.max(self.now) + length as f64 / self.bytes_ms;
+            }
+            let arrives = way.max(self.now) + delay;
+            self.at(arrives - self.now, What::Letter(number, to, life, from.clone(), Box::new(word), None));
+        }
+    }
+
+    /// States may come otherwise than they were sent.
+    fn underway(&mut self, mut word: Word) -> Word {
+        let Word::Agreement(letter) = &mut word else { return word };
+        let (bytes, members) = match &mut letter.say {
+            Some(Say::Install(install)) => (&mut install.state, &mut install.members),
+            Some(Say::Piece(piece)) => (&mut piece.bytes, &mut piece.members),
+            _ => return word,
+        };
+        self.pieces += 1;
+        if self.mutant == Some(Mutant::NoMembers) {
+            members.clear();
+        }
+        if self.damage > 0.0 && self.rng.f64() < self.damage && !bytes.is_empty() {
+            let at = self.rng.usize(0..bytes.len());
+            bytes[at] ^= 1 << self.rng.u32(0..8);
         }
+        word
     }
 
     /// A letter arrives, unless a cut holds it up: some are lost then, and some come late.
