Tell in the log what applying an order gave

Need: the leader's log told what was proposed, and not whether it was taken or lost its race.

Change: the leader says `rB is agreed on`, or `rB is refused: rC is in place`.

--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -529,6 +529,9 @@
         if touched == Touched::Config {
             self.take_limits();
         }
+        if let Some(Kind::Configured(config)) = change.as_ref().and_then(|change| change.kind.as_ref()) {
+            self.log_order(config, touched == Touched::Config);
+        }
         self.orders.decided(entry.index);
         let waits = |stage: &Stage| match stage {
             Stage::Proposed { index, term, mark } if *index == entry.index => Some((*term, *mark)),
