--- a/overland/src/agreement/snapshot.rs
+++ b/overland/src/agreement/snapshot.rs
@@ -233,6 +233,12 @@
         self.speak(now, &from, actions);
     }
 
+    /// How far it is with a state that it is sent: the number, bytes that came, bytes of the whole, and whether the whole
+    /// came and could not be read.
+    pub fn filling(&self) -> Option<(u64, u64, u64, bool)> {
+        self.partial.as_ref().map(|p| (p.index, p.bytes.len() as u64, p.total, p.refused))
+    }
+
     // ---- The state, taken ---------------------------------------------------------------------------------
 
     /// A whole state came in one letter.
--- a/overland/src/member/presence.rs
+++ b/overland/src/member/presence.rs
@@ -213,6 +213,10 @@
             index: state.index,
             digest: format!("{:016x}", self.digest.of(state)),
             log: agreement.log_length() as u64,
+            filling: agreement.filling().map(|(index, came, total, refused)| match refused {
+                true => format!("CAN'T READ the state of {index}"),
+                false => format!("has {came} of {total} bytes of the state of {index}"),
+            }),
             members: agreement.members().to_vec(),
             edition: state.config.as_ref().map_or(String::new(), |config| format!("r{}", config.edition)),
             evacuated: state.evacuated.iter().cloned().collect(),
--- a/overland/src/status.rs
+++ b/overland/src/status.rs
@@ -44,6 +44,8 @@
     pub digest: String,
     /// Entries in its log.
     pub log: u64,
+    /// How far it is with a state that it is sent, in words; none where it is sent none.
+    pub filling: Option<String>,
     /// The members of the core.
     pub members: Vec<String>,
     /// The configuration in force; empty before the first.
@@ -167,10 +169,12 @@
                     (.., false) => "follows",
                 };
                 // Copies with the same number are the same, or one is damaged.
-                let copy = match (status.index == best.index, status.digest == best.digest) {
-                    (true, true) => "same",
-                    (true, false) => "DIFFERS",
-                    (false, _) => "behind",
+                let behind = best.index.saturating_sub(status.index);
+                let copy = match (behind, status.digest == best.digest, &status.filling) {
+                    (0, true, _) => "same".to_owned(),
+                    (0, false, _) => "DIFFERS".to_owned(),
+                    (_, _, Some(filling)) => format!("{behind} behind: {filling}"),
+                    (_, _, None) => format!("{behind} behind"),
                 };
                 let Status { node, term, index, log, .. } = status;
                 writeln!(text, "{address}\t{node}\t{state}\t{term}\t{index}\t{copy}\t{log}")?;
