--- a/overland/tests/catching_up.rs
+++ b/overland/tests/catching_up.rs
@@ -6,7 +6,7 @@
 use overland::member::{Action, Event, Member};
 use overland::news::Word;
 use overland::state::Known;
-use simulated::{Place, World, Wrong};
+use simulated::{Place, SnapshotMutant, World};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 /// Plays drawn histories, and tells the seed of one that fails.
@@ -341,8 +341,8 @@
 
 #[test]
 fn what_is_wrong_with_snapshots_on_purpose_is_found() {
-    for mutant in [Wrong::NoMembers, Wrong::OldState] {
-        let found = found(6, |seed| drop(long(seed, 1200, |world| world.wrong = Some(mutant))));
+    for mutant in [SnapshotMutant::NoMembers, SnapshotMutant::OldState] {
+        let found = found(6, |seed| drop(long(seed, 1200, |world| world.snapshot_mutant = Some(mutant))));
         assert!(found, "no history finds {mutant:?}");
     }
 }
@@ -350,7 +350,9 @@
 /// Not a fault: each change tells what stands after it, and one that is older than what stands changes nothing.
 #[test]
 fn entries_that_are_applied_twice_change_nothing() {
-    histories(2, |seed| drop(long(seed, 1200, |world| world.wrong = Some(Wrong::AppliedTwice))));
+    histories(2, |seed| {
+        drop(long(seed, 1200, |world| world.snapshot_mutant = Some(SnapshotMutant::AppliedTwice)))
+    });
 }
 
 /// One member is started with an empty disk while its links carry so much. How long until it has all that is agreed on,
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -218,7 +218,7 @@
 
 /// What is deliberately wrong with snapshots.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wrong {
+pub enum SnapshotMutant {
     /// A state is sent without its members.
     NoMembers,
     /// Entries that a state holds stay on disk behind it, and are applied again.
@@ -243,16 +243,6 @@
     pub late: f64,
     /// A mutant: what comes late counts as said last.
     pub late_counts: bool,
-    /// What a link between two core processes carries, in bytes a ms, and until when each is busy.
-    pub bytes_ms: f64,
-    busy: BTreeMap<(usize, usize), f64>,
-    /// Part of the states and their pieces in which a byte is another when they arrive.
-    pub damage: f64,
-    /// A mutant of the snapshots.
-    pub wrong: Option<Wrong>,
-    /// Pieces that were sent, and states that were put in place.
-    pub pieces: u64,
-    pub installs: u64,
     /// Calls on their way: to which core, in which of its lives, since when, and whether it is an order.
     calls: BTreeMap<u64, (usize, u64, f64, bool)>,
     /// Orders that were taken: when, and who said so.
@@ -263,6 +253,16 @@
     pub mutant: Option<Mutant>,
     /// So many gateways start later.
     pub later: usize,
+    /// What a link between two core processes carries, in bytes a ms, and until when each is busy.
+    pub bytes_ms: f64,
+    busy: BTreeMap<(usize, usize), f64>,
+    /// Part of the states and their pieces in which a byte is another when they arrive.
+    pub damage: f64,
+    /// A mutant of the snapshots.
+    pub snapshot_mutant: Option<SnapshotMutant>,
+    /// Pieces that were sent, and states that were put in place.
+    pub pieces: u64,
+    pub installs: u64,
     pub callers: Callers,
     pub racers: racers::Racers,
     pub judge: Judge,
@@ -393,7 +393,7 @@
             bytes_ms: f64::INFINITY,
             busy: BTreeMap::new(),
             damage: 0.0,
-            wrong: None,
+            snapshot_mutant: None,
             pieces: 0,
             installs: 0,
             racers: racers::Racers::default(),
@@ -463,6 +463,12 @@
         self.now = until;
     }
 
+    /// A call is answered so, whoever is asked.
+    pub fn answer_later(&mut self, token: u64, reply: Reply) {
+        let delay = self.delay();
+        self.at(delay, What::Answered(token, Some(reply)));
+    }
+
     fn happen(&mut self, what: What) {
         match what {
             What::Core(core, life, input) => {
@@ -748,15 +754,22 @@
 
     fn act(&mut self, number: usize, decided: f64, action: Action) {
         match action {
-            Action::Save(save) => {
+            Action::Save(mut save) => {
+                if let Some(mutant) = self.racers.mutant {
+                    mutant.save(&mut save);
+                }
                 let core = &mut self.cores[number];
                 let mut save = *save;
                 self.installs += u64::from(save.base.is_some() && save.entries.is_some());
-                match (self.wrong, &core.disk, &mut save.base) {
-                    (Some(Wrong::AppliedTwice), Some(disk), Some(base)) if save.entries.is_none() => {
+                match (self.snapshot_mutant, &core.disk, &mut save.base) {
+                    (Some(SnapshotMutant::AppliedTwice), Some(disk), Some(base))
+                        if save.entries.is_none() =>
+                    {
                         base.index = disk.base.index;
                     }
-                    (Some(Wrong::OldState), Some(disk), Some(base)) => base.state = disk.base.state.clone(),
+                    (Some(SnapshotMutant::OldState), Some(disk), Some(base)) => {
+                        base.state = disk.base.state.clone()
+                    }
                     _ => {}
                 }
                 keep(&mut core.disk, save);
@@ -804,7 +817,10 @@
         }
     }
 
-    fn tell(&mut self, number: usize, from: String, to: &str, word: Word) {
+    fn tell(&mut self, number: usize, from: String, to: &str, mut word: Word) {
+        if let Some(mutant) = self.racers.mutant {
+            mutant.letter(&mut word);
+        }
         let Some(to) = core_number(to).filter(|to| *to < self.cores.len()) else { return };
         let times = if self.rng.f64() < self.luck.twice { 2 } else { 1 };
         for _ in 0..times {
@@ -833,7 +849,7 @@
             _ => return word,
         };
         self.pieces += 1;
-        if self.wrong == Some(Wrong::NoMembers) {
+        if self.snapshot_mutant == Some(SnapshotMutant::NoMembers) {
             members.clear();
         }
         if self.damage > 0.0 && self.rng.f64() < self.damage && !bytes.is_empty() {
