Have a gateway go by keys only once it is agreed on, as orders wait for those alone

Cause: an order waits for the gateways of the agreed state; one that was told that it is up to date and was not in it yet was waited for by nobody. Also true of one that a former leader told so. Ruled out: a pause after each election (3.6 s for every first order); a list of the leader's own (lost with it).

--- a/overland/src/follow.rs
+++ b/overland/src/follow.rs
@@ -339,6 +339,7 @@
             digest: self.state.as_ref().map_or(0, |state| self.digest.of(state)),
             ..news
         })));
+            at: self.proxy.as_ref().and_then(|(_, word)| word.at),
     }
 
     fn proxy_said(&mut self, now: Millis, link: u64, mut word: FromProxy, out: &mut Vec<Action>) {
--- a/overland/src/member/push.rs
+++ b/overland/src/member/push.rs
@@ -1,6 +1,6 @@
 //! What agents are told: who leads, and numbered changes.
 
-use super::{change_in, Action, Member};
+use super::{change_in, Action, Member, Next};
 use crate::agreement::{Entry, Name};
 use crate::news::{Change, FromAgent, Gateway, Kind, Numbered, Pulse, ToAgent};
 use cherrytally::Millis;
@@ -33,8 +33,9 @@
             heard: now,
             sent: held,
         });
-        if let Some(gateway) = word.gateway.take() {
-            agent.gateway = gateway;
+        let told = word.gateway.take();
+        if let Some(gateway) = &told {
+            agent.gateway = gateway.clone();
         }
         (agent.word, agent.heard) = (word, now);
         if !follows {
@@ -43,6 +44,13 @@
         if agent.members != members {
             (agent.members, pulse.members) = (members.clone(), members);
         }
+        // It goes by nothing before it is agreed on: that waits for no round.
+        let new = |gateway: &Gateway| {
+            leads && !gateway.front.is_empty() && self.state.gateways.get(&gateway.node) != Some(gateway)
+        };
+        if let Some(gateway) = told.filter(new) {
+            self.next.push_back(Next::Propose(Kind::Gateway(gateway), None));
+        }
         if leads {
             self.presence.told(now, &agent.gateway.node, applied);
         }
