Reckon the age of the leader's word from when the proxy last spoke, not from when it reads its agent's news

Symptom: a proxy that stood still took news that had waited in its socket for new ones and went by keys for a lease more (the program before is the mutant AgeForgotten of tests/promises.rs: 'gateway 2 goes by the keys of r82 at 47800, and r99 was acknowledged'). Cause: an agent tells an age; the proxy took it off its own clock when it read that. Ruled out: a clock common to both processes: the library gives none that may be sent. Change: the proxy's words carry its clock, the agent gives the last one back, and the age is taken off that: no later than the truth, and some 0.4 s earlier where nothing else is told.

--- a/overland/src/follow.rs
+++ b/overland/src/follow.rs
@@ -307,7 +307,9 @@
             log::warn!("agent: the copy of change {index} differs from the leader's");
             tell = true;
         }
-        if self.held() >= index {
+        // Orders wait for the gateways that are agreed on. One that is none of them yet goes by nothing.
+        let known = self.state.as_ref().is_some_and(|state| state.gateways.contains_key(&self.node));
+        if known && self.held() >= index {
             self.fresh = Some(self.fresh.map_or(at, |fresh| fresh.max(at)));
         }
         self.feed(now, ToProxy::default(), out);
@@ -337,9 +339,9 @@
             age_ms: self.fresh.map_or(-1.0, |fresh| now - fresh),
             index: self.held(),
             digest: self.state.as_ref().map_or(0, |state| self.digest.of(state)),
+            at: self.proxy.as_ref().and_then(|(_, word)| word.at),
             ..news
         })));
-            at: self.proxy.as_ref().and_then(|(_, word)| word.at),
     }
 
     fn proxy_said(&mut self, now: Millis, link: u64, mut word: FromProxy, out: &mut Vec<Action>) {
@@ -348,12 +350,16 @@
         if *of != link {
             return;
         }
-        let changed = *known != word;
-        *known = word;
+        let before = std::mem::replace(known, word);
+        let changed = FromProxy { at: known.at, ..before.clone() } != *known;
         let mend = self.state.as_ref().and_then(|state| state.mend_for(now, ranges.as_ref()?));
         if mend.is_some() {
             self.feed(now, ToProxy { mend, ..ToProxy::default() }, out);
         }
+        if before.at.is_none() {
+            // From now on it can tell how old what it hears is.
+            self.feed(now, ToProxy::default(), out);
+        }
         if changed {
             self.speak_to_all(now, out);
         }
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -263,7 +263,7 @@
         let mut incoming = Incoming::<ToProxy>::new(read);
         let ended = loop {
             let ready = self.ready();
-            out.send(&self.copy.borrow_mut().word(self.front.to_string(), ready));
+            out.send(&self.copy.borrow_mut().word(self.now(), self.front.to_string(), ready));
             let next = tokio::select! {
                 next = incoming.next() => next,
                 () = self.told.notified() => continue,
@@ -278,8 +278,8 @@
     }
 
     fn take(self: &Rc<Self>, news: ToProxy) {
-        let (now, age_ms, counter) = (self.now(), news.age_ms, news.counter.parse().ok());
-        let Taken { touched, mended } = self.copy.borrow_mut().take(now, news);
+        let (now, counter) = (self.now(), news.counter.parse().ok());
+        let Taken { touched, mended, word } = self.copy.borrow_mut().take(now, news);
         if mended {
             self.figures.copy_mended();
         }
@@ -293,8 +293,8 @@
             self.list();
         }
         self.counter.send_if_modified(|at| std::mem::replace(at, counter) != counter);
-        if age_ms >= 0.0 {
-            self.tally.borrow_mut().touched(now - age_ms);
+        if let Some(word) = word {
+            self.tally.borrow_mut().touched(word);
         }
         if !self.has_been.get() && self.table.borrow().is_some() && self.in_touch() {
             self.has_been.set(true);
