--- a/overland/tests/control.rs
+++ b/overland/tests/control.rs
@@ -1,11 +1,11 @@
 //! The whole control side against a plain model, in drawn histories. `HISTORIES` plays more of them, from `SEED` on; of
 //! those that fail the shortest is told.
 
+mod finds;
 mod simulated;
 
 use simulated::troubles::{Trouble, ALL};
 use simulated::World;
-use std::panic::{catch_unwind, AssertUnwindSafe};
 
 /// Failing histories of which the shortest is told.
 const FINDS: usize = 5;
@@ -14,19 +14,10 @@
 fn histories(few: u64, draw: impl Fn(u64) -> World, play: impl Fn(&mut World)) {
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     let first = number("SEED").unwrap_or(0);
-    let mut finds = Vec::new();
-    for seed in first..first + number("HISTORIES").unwrap_or(few) {
-        let mut world = draw(seed);
-        if let Err(why) = catch_unwind(AssertUnwindSafe(|| play(&mut world))) {
-            finds.push((world.events, seed, why));
-        }
-        if finds.len() == FINDS {
-            break;
-        }
-    }
-    if let Some((events, seed, why)) = finds.into_iter().min_by_key(|(events, ..)| *events) {
-        eprintln!("history {seed} fails after {events} events");
-        std::panic::resume_unwind(why);
+    let seeds = first..first + number("HISTORIES").unwrap_or(few);
+    if let Some(find) = finds::shortest(seeds, FINDS, draw, play, |world| world.events) {
+        eprintln!("history {} fails after {} events", find.seed, find.events);
+        std::panic::resume_unwind(find.why);
     }
 }
 
@@ -51,15 +42,7 @@
     histories(few, draw, |world| {
         world.later = world.rng.usize(0..2);
         world.callers.hasty = hasty;
-        world.begin();
-        world.pass(8_000.0);
-        for _ in 0..2 {
-            let trouble = of[world.rng.usize(0..of.len())];
-            world.bring_about(trouble);
-            let pause = world.rng.f64() * 6_000.0;
-            world.pass(world.now + pause);
-        }
-        world.settle(15_000.0);
+        world.two_troubles(of);
     });
 }
 
@@ -67,7 +50,8 @@
 /// again, with its old links still open or not.
 #[test]
 fn a_leader_that_is_cut_off_says_nothing_for_all() {
-    troubles(10, &[Trouble::LeaderFromPeers, Trouble::LeaderFromAgents, Trouble::LeaderFromAll], false);
+    let of = [Trouble::LeaderFromPeers, Trouble::LeaderFromAgents, Trouble::LeaderFromAll, Trouble::Split];
+    troubles(10, &of, false);
 }
 
 /// Backends come and go while leaders are cut off, frozen and woken: what is acknowledged of them holds at who leads next.
--- a/overland/tests/mutants.rs
+++ b/overland/tests/mutants.rs
@@ -1,10 +1,10 @@
 //! Faults put into the program on purpose: the histories that find none in it find each of these. In a process of its own,
 //! as what is found panics.
 
+mod finds;
 mod histories;
 
 use histories::{play, Mutant, World};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 
 /// Histories tried before a fault counts as not found.
 const MOST: u64 = 1500;
@@ -26,24 +26,14 @@
     ];
     let mut missed = Vec::new();
     for (mutant, founders, wipes) in mutants {
-        let mut finds = Vec::new();
-        for seed in 0..MOST {
+        let draw = |seed| {
             let mut world = World::new(seed, founders, 0, Some(mutant));
             world.nervous = matches!(mutant, Mutant::VoteBeforeSync | Mutant::VoteForgotten);
-            let played = catch_unwind(AssertUnwindSafe(|| play(&mut world, wipes)));
-            if let Err(broken) = played {
-                let text = broken.downcast_ref::<String>().cloned();
-                let text = text.or_else(|| broken.downcast_ref::<&str>().map(|text| text.to_string()));
-                finds.push((world.events, seed, text.unwrap_or_default()));
-            }
-            if finds.len() == FINDS {
-                break;
-            }
-        }
-        match finds.iter().min() {
-            Some((events, seed, text)) => {
-                let text = text.lines().next().unwrap_or_default();
-                println!("{mutant:?}: history {seed}, {events} events: {text}");
+            world
+        };
+        match finds::shortest(0..MOST, FINDS, draw, |world| play(world, wipes), |world| world.events) {
+            Some(find) => {
+                println!("{mutant:?}: history {}, {} events: {}", find.seed, find.events, find.text());
             }
             None => missed.push(mutant),
         }
