--- a/overland/src/follow.rs
+++ b/overland/src/follow.rs
@@ -307,9 +307,7 @@
             log::warn!("agent: the copy of change {index} differs from the leader's");
             tell = true;
         }
-        // Orders wait for the gateways that are agreed on. One that is none of them yet goes by nothing.
-        let known = self.state.as_ref().is_some_and(|state| state.gateways.contains_key(&self.node));
-        if known && self.held() >= index {
+        if self.held() >= index {
             self.fresh = Some(self.fresh.map_or(at, |fresh| fresh.max(at)));
         }
         self.feed(now, ToProxy::default(), out);
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -12,12 +12,12 @@
 
 use callers::Callers;
 use judge::Judge;
-use overland::agreement::{Entry, Save, Saved};
+use overland::agreement::{Entry, Save, Saved, Say};
 use overland::calls::Reply;
 use overland::copy::Copy;
 use overland::follow::{self, Follow};
 use overland::member::{Action, Event, Member, TICK_MS};
-use overland::news::{Change, FromAgent, Numbered, ToAgent, ToProxy, Word};
+use overland::news::{Change, CoreWord, FromAgent, Numbered, ToAgent, ToProxy, Word};
 use overland::settings::{Bounds, Settings};
 use prost::Message;
 use std::cmp::Reverse;
@@ -216,6 +216,17 @@
     pub const CALM: Luck = Luck { loss: 0.0, twice: 0.0, kill: 0.0, ack_loss: 0.0, pause: 0.0 };
 }
 
+/// What is deliberately wrong with snapshots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SnapshotMutant {
+    /// A state is sent without its members.
+    NoMembers,
+    /// Entries that a state holds stay on disk behind it, and are applied again.
+    AppliedTwice,
+    /// A state on disk is an older one.
+    OldState,
+}
+
 /// The system and all around it.
 pub struct World {
     pub rng: fastrand::Rng,
@@ -242,6 +253,16 @@
     pub mutant: Option<Mutant>,
     /// So many gateways start later.
     pub later: usize,
+    /// What a link between two core processes carries, in bytes a ms, and until when each is busy.
+    pub bytes_ms: f64,
+    busy: BTreeMap<(usize, usize), f64>,
+    /// Part of the states and their pieces in which a byte is another when they arrive.
+    pub damage: f64,
+    /// A mutant of the snapshots.
+    pub snapshot_mutant: Option<SnapshotMutant>,
+    /// Pieces that were sent, and states that were put in place.
+    pub pieces: u64,
+    pub installs: u64,
     pub callers: Callers,
     pub racers: racers::Racers,
     pub judge: Judge,
@@ -370,6 +391,12 @@
             cuts: BTreeSet::new(),
             late: 0.0,
             late_counts: false,
+            bytes_ms: f64::INFINITY,
+            busy: BTreeMap::new(),
+            damage: 0.0,
+            snapshot_mutant: None,
+            pieces: 0,
+            installs: 0,
             racers: racers::Racers::default(),
             luck: Luck::CALM,
             calls: BTreeMap::new(),
@@ -405,7 +432,7 @@
         self.cuts.clear();
         self.luck = Luck::CALM;
         (self.callers.churn, self.callers.wishes) = (false, false);
-        self.late = 0.0;
+        (self.late, self.damage) = (0.0, 0.0);
         (0..self.cores.len()).for_each(|core| self.start_core(core, false));
         (0..self.gateways.len()).for_each(|gateway| self.start_gateway(gateway));
         self.pass(self.now + for_ms);
@@ -437,6 +464,12 @@
         self.now = until;
     }
 
+    /// A call is answered so, whoever is asked.
+    pub fn answer_later(&mut self, token: u64, reply: Reply) {
+        let delay = self.delay();
+        self.at(delay, What::Answered(token, Some(reply)));
+    }
+
     fn happen(&mut self, what: What) {
         match what {
             What::Core(core, life, input) => {
@@ -750,10 +783,26 @@
 
     fn act(&mut self, number: usize, decided: f64, action: Action) {
         match action {
-            Action::Save(save) => {
+            Action::Save(mut save) => {
                 self.push_unagreed(number, &save);
+                if let Some(mutant) = self.racers.mutant {
+                    mutant.save(&mut save);
+                }
                 let core = &mut self.cores[number];
-                keep(&mut core.disk, *save);
+                let mut save = *save;
+                self.installs += u64::from(save.base.is_some() && save.entries.is_some());
+                match (self.snapshot_mutant, &core.disk, &mut save.base) {
+                    (Some(SnapshotMutant::AppliedTwice), Some(disk), Some(base))
+                        if save.entries.is_none() =>
+                    {
+                        base.index = disk.base.index;
+                    }
+                    (Some(SnapshotMutant::OldState), Some(disk), Some(base)) => {
+                        base.state = disk.base.state.clone()
+                    }
+                    _ => {}
+                }
+                keep(&mut core.disk, save);
                 let took_ms = core.sync_ms;
                 core.saved = Some(took_ms);
                 if took_ms > 1.0 {
@@ -829,7 +878,10 @@
         }
     }
 
-    fn tell(&mut self, number: usize, from: String, to: &str, word: Word) {
+    fn tell(&mut self, number: usize, from: String, to: &str, mut word: Word) {
+        if let Some(mutant) = self.racers.mutant {
+            mutant.letter(&mut word);
+        }
         let Some(to) = core_number(to).filter(|to| *to < self.cores.len()) else { return };
         let times = if self.rng.f64() < self.luck.twice { 2 } else { 1 };
         for _ in 0..times {
@@ -838,8 +890,34 @@
                 continue;
             }
             let life = self.cores[to].life;
-            self.at(delay, What::Letter(number, to, life, from.clone(), Box::new(word.clone()), None));
+            let word = self.underway(word.clone());
+            let way = self.busy.entry((number, to)).or_insert(0.0);
+            if self.bytes_ms.is_finite() {
+                let length = CoreWord { from: from.clone(), word: Some(word.clone()) }.encoded_len();
+                *way = way.max(self.now) + length as f64 / self.bytes_ms;
+            }
+            let arrives = way.max(self.now) + delay;
+            self.at(arrives - self.now, What::Letter(number, to, life, from.clone(), Box::new(word), None));
+        }
+    }
+
+    /// States may come otherwise than they were sent.
+    fn underway(&mut self, mut word: Word) -> Word {
+        let Word::Agreement(letter) = &mut word else { return word };
+        let (bytes, members) = match &mut letter.say {
+            Some(Say::Install(install)) => (&mut install.state, &mut install.members),
+            Some(Say::Piece(piece)) => (&mut piece.bytes, &mut piece.members),
+            _ => return word,
+        };
+        self.pieces += 1;
+        if self.snapshot_mutant == Some(SnapshotMutant::NoMembers) {
+            members.clear();
+        }
+        if self.damage > 0.0 && self.rng.f64() < self.damage && !bytes.is_empty() {
+            let at = self.rng.usize(0..bytes.len());
+            bytes[at] ^= 1 << self.rng.u32(0..8);
         }
+        word
     }
 
     /// A letter arrives, unless a cut holds it up: some are lost then, and some come late.
