Change members by joint consensus: a second loss right after a replacement is borne

Need: three members, one gone for good, a newcomer, catch_up of calm, one more lost: nobody led. Cause: the newcomer came first (four members, three needed, one of them dead) and the dead one was left out after 9 s. Ruled out: a shorter time alone (four with one dead still bear no loss meanwhile); a swap in one entry (a majority of {A,B,X} and one of {A,B,N} need not meet: {A,X}, {B,N}). Change: an entry names the next list, majorities of both count from it on, a second entry ends the old one. Whoever comes listens; a member silent for 1.5 s gives its place to a listener that has the log, whatever their number; lists are odd, seven at most. One that leaves says so in its answers and is told when nobody needs it (not yet asked for by control). Found on the way: a lost state was sent again after 1.5 s only: signs of life go behind it, and their answers tell; two that ask for votes at once waited a whole election time: 150 to 600 ms now; a new leader gave the dead one 1.5 s more; what a wiped member answered before counted when it came late.

--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -1,5 +1,5 @@
 //! Agreement of the core: one log of changes in the same order at all its members. Raft (Ongaro and Ousterhout,
-//! 2014) with its pre-vote, its check of the leader's quorum and its single-server changes of members, and three
+//! 2014) with its pre-vote, its check of the leader's quorum and its joint consensus for changes of members, and three
 //! rules more: a member with an empty disk votes and counts only once a leader has brought it up to date; a leader
 //! that is told its disk is slow names a successor; a lease by the steady clock tells who may answer for all.
 //!
@@ -12,9 +12,11 @@
 mod role;
 
 pub use letter::{Append, Entry, Install, Letter, Say};
+pub use members::Roll;
 
 use cherrytally::Millis;
 use letter::{Appended, Vote, VoteAsk};
+use members::Membership;
 use role::{Follow, Lead, Progress, Role};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -26,6 +28,10 @@
 /// Without a word of a leader for between so long, in ms, a member wants to lead. Between zones of one region a word
 /// takes 1 ms, between regions 50; a process may be kept from its processor for some hundred.
 const ELECTION_MS: (f64, f64) = (700.0, 1200.0);
+/// One that asked for votes and got too few, as another asked at the same time, tries again between so long after, in ms.
+/// Nobody that hears a leader votes for it, so it need not wait as long as for a word of one; two ways between regions are
+/// 100 ms.
+const SPLIT_MS: (f64, f64) = (150.0, 600.0);
 /// After a start a member asks this long and up to twice as long later whether it would be voted for, in ms.
 const START_MS: f64 = 60.0;
 /// It asks those again that have not answered so long after, in ms: they may just be starting, too.
@@ -40,8 +46,6 @@
 const BATCH: (usize, usize) = (256, 512 * 1024);
 /// Unanswered letters with entries are sent again after so long, in ms.
 const AGAIN_MS: f64 = 300.0;
-/// A member that said nothing for so long, in ms, may be replaced by one that waits to join.
-const LOST_MS: f64 = 9000.0;
 
 /// What happens.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,6 +63,8 @@
     Propose(Vec<u8>),
     /// Another process wants to be a member.
     Join(Name),
+    /// The process is told to end: see [`Agreement::left`].
+    Leave,
     /// Somebody else should lead: the process ends, or its disk is slow.
     Resign,
 }
@@ -146,10 +152,17 @@
     role: Role,
     /// When a leader was last heard of.
     heard: Millis,
+    /// Which one that was.
+    last_leader: Option<Name>,
     /// When it wants to lead if none is heard of.
     election: Millis,
     /// Before that it votes for nobody.
     forgotten_until: Millis,
+    membership: Membership,
+    /// The process is told to end.
+    leaving: bool,
+    /// A leader said that it may.
+    released: bool,
     rng: fastrand::Rng,
 }
 
@@ -168,7 +181,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let Saved { vow, base, entries } = saved;
         let empty = !vow.counts;
-        Agreement {
+        let mut agreement = Agreement {
             me,
             commit: base.index,
             applied: base.index,
@@ -177,11 +190,17 @@
             log: entries.into(),
             role: Role::Follower(Follow { leader: None }),
             heard: f64::NEG_INFINITY,
+            last_leader: None,
             // Whoever leads is asked first whether it does: nobody votes for another while it is heard.
             election: now + START_MS * (1.0 + rng.f64()),
             forgotten_until: if empty { now + FORGOTTEN_MS } else { now },
+            membership: Membership::default(),
+            leaving: false,
+            released: false,
             rng,
-        }
+        };
+        agreement.read_members();
+        agreement
     }
 
     /// The latest term that it has heard of.
@@ -232,8 +251,8 @@
         let index = self.applied;
         let term = self.term_at(index).unwrap_or(self.base.term);
         let applied = (index - self.base.index) as usize;
-        let members = self.log.iter().take(applied).rev().find_map(|entry| entry.members());
-        let members = members.unwrap_or(&self.base.members).to_vec();
+        // While members change the log keeps where that began: a state names one list.
+        let Some(members) = self.applied_members() else { return };
         self.log.drain(..applied);
         self.base = Base { index, term, members, state };
         actions.push(Action::Save(Save {
@@ -254,6 +273,7 @@
                 }
             }
             Event::Join(name) => self.join(now, name),
+            Event::Leave => self.leave(now, actions),
             Event::Resign => self.resign(now, actions),
         }
     }
@@ -278,7 +298,12 @@
     }
 
     fn append(&mut self, now: Millis, entry: Entry, actions: &mut Vec<Action>) {
+        let named = entry.members().is_some() || entry.next().is_some();
         self.log.push_back(entry.clone());
+        if named {
+            self.read_members();
+            self.sort_peers(now);
+        }
         self.save(Some((entry.index, vec![entry])), actions);
         self.advance(actions);
         self.spread(now, false, actions);
@@ -299,7 +324,9 @@
     fn become_role(&mut self, now: Millis, role: Role, actions: &mut Vec<Action>) {
         let (led, leads) = (self.leads(), matches!(role, Role::Leader(_)));
         self.role = role;
-        self.election = now + ELECTION_MS.0 + (ELECTION_MS.1 - ELECTION_MS.0) * self.rng.f64();
+        let split = matches!(&self.role, Role::Candidate(stand) if !stand.pre);
+        let (least, most) = if split { SPLIT_MS } else { ELECTION_MS };
+        self.election = now + least + (most - least) * self.rng.f64();
         if led != leads {
             actions.push(Action::Leads(leads));
         }
@@ -311,7 +338,7 @@
             self.save(None, actions);
         }
         if leader.is_some() {
-            self.heard = now;
+            (self.heard, self.last_leader) = (now, leader.clone());
         }
         self.become_role(now, Role::Follower(Follow { leader }), actions);
     }
@@ -326,7 +353,8 @@
                     let term = self.vow.term;
                     return self.follow(now, term, None, actions);
                 }
-                self.replace(now, actions);
+                self.give_way(now, actions);
+                self.change_members(now, actions);
                 self.spread(now, true, actions);
             }
             _ if now >= self.election => self.campaign(now, true, false, actions),
@@ -367,15 +395,19 @@
     fn count_votes(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let Role::Candidate(stand) = &self.role else { return };
         let (pre, named) = (stand.pre, stand.named);
-        let votes = self.members().iter().filter(|name| stand.votes.contains(*name)).count();
-        if votes * 2 <= self.members().len() {
+        if !self.membership.majority(|name| stand.votes.contains(name)) {
             return;
         }
         if pre {
             return self.campaign(now, false, named, actions);
         }
         let first = self.last() + 1;
-        let peers = self.others().into_iter().map(|name| (name, Progress::new(first, now))).collect();
+        let mut peers: BTreeMap<_, _> =
+            self.others().into_iter().map(|name| (name, Progress::new(first, now))).collect();
+        if let Some(last) = self.last_leader.as_ref().and_then(|name| peers.get_mut(name)) {
+            // Who led before has been silent for a while already. It has a moment to answer.
+            last.heard = self.heard.max(now - members::SUSPECT_MS + members::PRESENT_MS);
+        }
         self.become_role(
             now,
             Role::Leader(Lead { first, peers, joining: BTreeMap::new(), resigned: None }),
@@ -457,6 +489,7 @@
             matched: self.last(),
             counts: self.vow.counts,
             at: append.at,
+            leaving: self.leaving,
         };
         if append.term < self.vow.term {
             actions.push(Action::Send { to: from, say: Say::Appended(answer) });
@@ -464,6 +497,7 @@
         }
         self.follow(now, append.term, Some(from.clone()), actions);
         answer.term = self.vow.term;
+        self.released |= self.leaving && append.released;
         let (mut prev, mut entries) = (append.prev, append.entries);
         if prev < self.base.index {
             // What lies before the base is agreed on and the same everywhere.
@@ -484,6 +518,7 @@
             let first = entries[0].index;
             self.log.truncate((first - self.base.index - 1) as usize);
             self.log.extend(entries.iter().cloned());
+            self.read_members();
             self.save(Some((first, entries)), actions);
         }
         self.commit = self.commit.max(append.commit.min(end));
@@ -504,6 +539,7 @@
             matched: self.last(),
             counts: self.vow.counts,
             at: install.at,
+            leaving: self.leaving,
         };
         if install.term >= self.vow.term {
             self.follow(now, install.term, Some(from.clone()), actions);
@@ -516,6 +552,7 @@
                 self.log.clear();
                 self.base = Base { index, term: last_term, members, state: state.clone() };
                 (self.commit, self.applied) = (index, index);
+                self.read_members();
                 let (vow, base) = (self.vow.clone(), Some(self.base.clone()));
                 actions.push(Action::Save(Save { vow, entries: Some((index + 1, Vec::new())), base }));
                 actions.push(Action::Restore { index, state });
@@ -529,13 +566,21 @@
         if answer.term > self.vow.term {
             return self.follow(now, answer.term, None, actions);
         }
-        let (last, commit) = (self.last(), self.commit);
+        let (last, commit, base) = (self.last(), self.commit, self.base.index);
         let Role::Leader(lead) = &mut self.role else { return };
         if answer.term < self.vow.term {
             return;
         }
         let first = lead.first;
         let Some(progress) = lead.progress(&from) else { return };
+        if !answer.counts {
+            progress.emptied = now;
+        } else if answer.at < progress.emptied {
+            return;
+        }
+        if answer.at >= progress.asked {
+            (progress.leaving, progress.released) = (answer.leaving, progress.released && answer.leaving);
+        }
         (progress.heard, progress.asked) = (now, progress.asked.max(answer.at));
         if progress.counts && !answer.counts {
             // Its disk is new: what it held is gone.
@@ -546,6 +591,9 @@
             progress.matched = progress.matched.max(answer.matched);
             progress.next = progress.next.max(answer.matched + 1);
             progress.out_since = (progress.matched + 1 < progress.next).then_some(now);
+        } else if progress.next <= base && progress.out_since.is_some_and(|at| answer.at <= at) {
+            // It answers what was sent before the state that is on its way.
+            return;
         } else {
             progress.next = (answer.matched + 1).min(last + 1).max(1);
             progress.out_since = None;
@@ -557,7 +605,7 @@
         if more {
             self.speak(now, &from, actions);
         }
-        self.admit(now, actions);
+        self.change_members(now, actions);
     }
 
     // ---- The leader ---------------------------------------------------------------------------------------
@@ -570,7 +618,7 @@
             if *name == self.me {
                 return self.vow.counts.then_some(last);
             }
-            lead.peers.get(name).filter(|p| p.counts).map(|p| p.matched)
+            lead.peers.get(name).filter(|p| p.counts && !p.released).map(|p| p.matched)
         });
         let Some(held) = held.filter(|held| *held > self.commit) else { return };
         if self.term_at(held) == Some(self.vow.term) {
@@ -596,10 +644,17 @@
     /// Sends one member what it lacks, or a sign of life.
     fn speak(&mut self, now: Millis, to: &Name, actions: &mut Vec<Action>) {
         let (term, commit, base) = (self.vow.term, self.commit, self.base.index);
+        let released = self.releases(now, to);
         let Role::Leader(lead) = &mut self.role else { return };
         let Some(progress) = lead.progress(to) else { return };
         if progress.next <= base {
             if progress.out_since.is_some_and(|at| now - at < 5.0 * AGAIN_MS) {
+                // A sign of life behind the state: an answer to it that lacks the state says that it was lost.
+                progress.sent = now;
+                let (prev, prev_term, entries) = (base, self.base.term, Vec::new());
+                let (counts, at) = (false, now);
+                let append = Append { term, prev, prev_term, entries, commit: base, counts, at, released };
+                actions.push(Action::Send { to: to.clone(), say: Say::Append(append) });
                 return;
             }
             (progress.out_since, progress.sent) = (Some(now), now);
@@ -630,8 +685,9 @@
             progress.out_since.get_or_insert(now);
         }
         let counts = progress.welcome;
+        progress.released |= released;
         let prev_term = self.term_at(prev).unwrap_or(0);
-        let say = Say::Append(Append { term, prev, prev_term, entries, commit, counts, at: now });
+        let say = Say::Append(Append { term, prev, prev_term, entries, commit, counts, at: now, released });
         actions.push(Action::Send { to: to.clone(), say });
     }
 }
--- a/overland/src/agreement/role.rs
+++ b/overland/src/agreement/role.rs
@@ -79,12 +79,29 @@
     pub(super) heard: Millis,
     /// When the last letter that it answered was sent.
     pub(super) asked: Millis,
+    /// When it last said that its disk is new. What it answered to earlier letters was of its old disk.
+    pub(super) emptied: Millis,
+    /// It is told to end.
+    pub(super) leaving: bool,
+    /// It was told that it may: its copies count no more.
+    pub(super) released: bool,
 }
 
 impl Progress {
     pub(super) fn new(next: u64, now: Millis) -> Self {
-        let (matched, counts, welcome, out_since) = (0, false, false, None);
-        let (sent, heard, asked) = (f64::NEG_INFINITY, now, f64::NEG_INFINITY);
-        Progress { next, matched, counts, welcome, out_since, sent, heard, asked }
+        let never = f64::NEG_INFINITY;
+        Progress {
+            next,
+            matched: 0,
+            counts: false,
+            welcome: false,
+            out_since: None,
+            sent: never,
+            heard: now,
+            asked: never,
+            emptied: never,
+            leaving: false,
+            released: false,
+        }
     }
 }
--- a/overland/tests/histories/mod.rs
+++ b/overland/tests/histories/mod.rs
@@ -26,6 +26,8 @@
     disk: Option<Saved>,
     founds: bool,
     pub running: Option<Agreement>,
+    /// It is lost for good, with its disk.
+    gone: bool,
     /// What it has applied, by number.
     state: BTreeMap<u64, Vec<u8>>,
 }
@@ -122,8 +124,13 @@
 
 impl World {
     pub fn new(seed: u64, founders: usize, others: usize, mutant: Option<Mutant>) -> Self {
-        let machine =
-            |number| Machine { disk: None, founds: number < founders, running: None, state: BTreeMap::new() };
+        let machine = |number| Machine {
+            disk: None,
+            founds: number < founders,
+            running: None,
+            gone: false,
+            state: BTreeMap::new(),
+        };
         let mut rng = fastrand::Rng::with_seed(seed);
         let (loss, compacts, nervous) = (rng.f64() * 0.2, rng.bool(), rng.f64() < 0.3);
         World {
@@ -150,7 +157,7 @@
     pub fn start(&mut self, number: usize, first: bool) {
         let founders = self.founders();
         let machine = &mut self.machines[number];
-        if machine.running.is_some() {
+        if machine.running.is_some() || machine.gone {
             return;
         }
         if first && machine.founds && machine.disk.is_none() {
@@ -311,6 +318,37 @@
         }
     }
 
+    /// A machine is lost for good.
+    pub fn lose(&mut self, number: usize) {
+        self.kill(number);
+        (self.machines[number].gone, self.machines[number].disk) = (true, None);
+    }
+
+    /// Who leads and is answered by a majority.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.machines.len())
+            .find(|n| self.machines[*n].running.as_ref().is_some_and(|agreement| agreement.vouches(self.now)))
+    }
+
+    /// The members as each process has them.
+    pub fn members(&self) -> Vec<Vec<String>> {
+        let running = self.machines.iter().filter_map(|machine| machine.running.as_ref());
+        running.map(|agreement| agreement.members().to_vec()).collect()
+    }
+
+    /// Plays on until somebody leads, and gives how long that took, in ms; none where nobody does in that time.
+    pub fn led_after(&mut self, most: f64) -> Option<f64> {
+        let since = self.now;
+        while self.now - since <= most {
+            if self.leader().is_some() {
+                return Some(self.now - since);
+            }
+            let until = self.now + 1.0;
+            self.pass(until, 0.0);
+        }
+        None
+    }
+
     fn running(&self) -> usize {
         self.machines.iter().filter(|machine| machine.running.is_some()).count()
     }
@@ -381,3 +419,41 @@
         assert!(held.eq(w.model.agreed.range(..=told)), "core{number} lacks what was told");
     }
 }
+
+/// A member is lost for good, a newcomer starts, and after so much calm one more is lost, whoever it is. Gives how long
+/// nobody led then, in ms.
+pub fn replaced(w: &mut World, calm: f64) -> f64 {
+    let members = w.machines.len() - 1;
+    for number in 0..members {
+        w.start(number, true);
+    }
+    w.pass(2500.0, 0.0);
+    let lost = w.rng.usize(0..members);
+    // The newcomer starts before the loss, with it, or after it.
+    let from = w.rng.f64() * 3000.0 - 1000.0;
+    let until = w.now + (-from).max(0.0);
+    if from < 0.0 {
+        w.start(members, false);
+    }
+    w.pass(until, 0.0);
+    w.lose(lost);
+    let until = w.now + from.max(0.0);
+    w.pass(until, 0.0);
+    w.start(members, false);
+    let until = w.now + calm;
+    w.pass(until, 0.0);
+    let mut next = w.rng.usize(0..members);
+    while next == lost {
+        next = w.rng.usize(0..=members);
+    }
+    w.lose(next);
+    let members = w.members();
+    let led = w.led_after(15_000.0).unwrap_or_else(|| {
+        panic!("nobody leads 15 s after core{next} was lost, core{lost} before, with members {members:?}")
+    });
+    let told = w.model.told;
+    let until = w.now + 2000.0;
+    w.pass(until, 0.0);
+    assert!(w.model.told > told, "nothing is agreed on any more");
+    led
+}
