--- a/overland/tests/copies.rs
+++ b/overland/tests/copies.rs
@@ -11,6 +11,7 @@
             edition: rng.u64(..),
             text: format!("{{{number}}}"),
             call: rng.u64(..),
+            ..Configured::default()
         }),
         1 => Kind::Evacuated(Evacuated { zone, on: rng.bool() }),
         2 => Kind::BackendGone(format!("i-{number}")),
@@ -25,10 +26,11 @@
             zone,
             berths: rng.u32(1..4),
             closing: rng.bool(),
+            postmark: rng.u64(0..4),
             cold_ms: rng.u64(0..3000),
         }),
     };
-    Change { kind: Some(kind) }
+    Change { kind: Some(kind), left: rng.bool() }
 }
 
 fn state(rng: &mut fastrand::Rng) -> State {
@@ -42,8 +44,13 @@
 /// What must be the same in all copies.
 fn lasting(state: &State) -> State {
     let mut state = state.clone();
-    state.calls.clear();
-    state.backends.values_mut().for_each(|known| (known.cold_until, known.backend.cold_ms) = (0.0, 0));
+    // What orders calls is for the core alone, and an older process in the middle of an upgrade knows nothing of it.
+    state.ledger = Default::default();
+    state.left.clear();
+    state.backends.values_mut().for_each(|known| {
+        known.cold_until = 0.0;
+        (known.backend.cold_ms, known.backend.postmark) = (0, 0);
+    });
     state
 }
 
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -7,16 +7,17 @@
 
 pub mod callers;
 pub mod judge;
+pub mod racers;
 
 use callers::Callers;
 use judge::Judge;
 use overland::agreement::{Save, Saved};
 use overland::calls::Reply;
+use overland::copy::Copy;
 use overland::follow::{self, Follow};
 use overland::member::{Action, Event, Member, TICK_MS};
-use overland::news::{FromAgent, FromProxy, ToAgent, ToProxy, Word};
+use overland::news::{FromAgent, ToAgent, ToProxy, Word};
 use overland::settings::{Bounds, Settings};
-use overland::state::State;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -41,7 +42,7 @@
 #[derive(Clone)]
 pub enum Input {
     Tick,
-    Heard(String, Word),
+    Heard(String, Box<Word>),
     /// A call: its token, method, path and body.
     Call(u64, &'static str, String, Vec<u8>),
     Agent(u64, FromAgent),
@@ -128,10 +129,8 @@
     pub life: u64,
     started: f64,
     pub rate: f64,
-    /// The proxy's copy of the state.
-    pub copy: Option<State>,
-    /// The moment, by the gateway's own clock, of the last word of who leads.
-    pub fresh: Option<f64>,
+    /// What the proxy goes by.
+    pub copy: Copy,
     agent_due: f64,
     frozen_until: f64,
 }
@@ -173,9 +172,14 @@
     /// Pairs of which the first can't reach the second.
     pub cuts: BTreeSet<(Place, Place)>,
     pub luck: Luck,
+    /// Part of the calls that a link holds up for seconds: whoever called has asked another meanwhile.
+    pub late: f64,
+    /// A mutant: what comes late counts as said last.
+    pub late_counts: bool,
     /// Calls on their way: to which core, in which of its lives.
     calls: BTreeMap<u64, (usize, u64, f64)>,
     pub callers: Callers,
+    pub racers: racers::Racers,
     pub judge: Judge,
     pub seeds: Vec<SocketAddr>,
     next: u64,
@@ -212,7 +216,7 @@
     }
 }
 
-fn settings(
+pub fn settings(
     node: String, control: Option<SocketAddr>, seeds: Vec<SocketAddr>, first_start: bool,
 ) -> Settings {
     Settings {
@@ -277,8 +281,7 @@
             life: 0,
             started: 0.0,
             rate: rate(rng),
-            copy: None,
-            fresh: None,
+            copy: Copy::new(&bounds()),
             agent_due: f64::INFINITY,
             frozen_until: 0.0,
         };
@@ -294,7 +297,10 @@
             links: BTreeMap::new(),
             cuts: BTreeSet::new(),
             luck: Luck { loss: 0.0, twice: 0.0, kill: 0.0, ack_loss: 0.0 },
+            late: 0.0,
+            late_counts: false,
             calls: BTreeMap::new(),
+            racers: racers::Racers::default(),
             judge: Judge::default(),
             seeds: (0..founders.min(3)).map(core_address).collect(),
             next: 0,
@@ -322,6 +328,7 @@
         self.cuts.clear();
         self.luck = Luck { loss: 0.0, twice: 0.0, kill: 0.0, ack_loss: 0.0 };
         (self.callers.churn, self.callers.wishes) = (false, false);
+        self.late = 0.0;
         (0..self.cores.len()).for_each(|core| self.start_core(core, false));
         (0..self.gateways.len()).for_each(|gateway| self.start_gateway(gateway));
         self.pass(self.now + for_ms);
@@ -517,7 +524,7 @@
                         self.at(TICK_MS, What::Core(number, life, Input::Tick));
                         Event::Tick
                     }
-                    Input::Heard(from, word) => Event::Heard { from, word },
+                    Input::Heard(from, word) => Event::Heard { from, word: *word },
                     Input::Call(call, method, path, body) => {
                         Event::Called { call, method: method.to_owned(), path, body }
                     }
@@ -530,8 +537,14 @@
             let now = (self.now - core.started) * core.rate;
             let Some(member) = &mut core.running else { return };
             let mut out = Vec::new();
+            let edition = |member: &Member| member.state().config.as_ref().map_or(0, |config| config.edition);
+            let before = edition(member);
             member.handle(now, event, &mut out);
+            let new = member.state().config.clone().filter(|config| config.edition != before);
             core.doing.extend(out);
+            if let (Some(config), false) = (new, self.racers.slots.is_empty()) {
+                racers::seen(self, config.edition, &config.text);
+            }
         }
     }
 
@@ -546,7 +559,7 @@
                     self.freeze_core(number, took_ms);
                 }
             }
-            Action::Tell { to, word } => self.tell(number, core_address(number).to_string(), &to, word),
+            Action::Tell { to, word } => self.tell(number, core_address(number).to_string(), &to, *word),
             Action::Pass { to, from } => self.tell(number, from, &to, Word::Join(true)),
             Action::Answer { call, reply } => {
                 let life = self.cores[number].life;
@@ -590,7 +603,7 @@
         &mut self, from: usize, to: usize, life: u64, name: String, word: Box<Word>, held: Option<f64>,
     ) {
         if self.reaches(Place::Core(from), Place::Core(to)) {
-            return self.happen(What::Core(to, life, Input::Heard(name, *word)));
+            return self.happen(What::Core(to, life, Input::Heard(name, word)));
         }
         let since = held.unwrap_or(self.now);
         if self.now - since < UNHEARD_MS && (held.is_some() || self.rng.bool()) {
@@ -608,7 +621,14 @@
         // A second of silence ends it.
         self.at(1000.0, What::Answered(token, None));
         if self.reaches(Place::Outside, Place::Core(core)) {
-            let delay = self.delay();
+            let mut delay = self.delay();
+            let mut body = body;
+            if self.late > 0.0 && self.rng.f64() < self.late {
+                delay += 1000.0 + self.rng.f64() * 2500.0;
+                if let (true, Ok(text)) = (self.late_counts, String::from_utf8(body.clone())) {
+                    body = text.replace("\"postmark\":", "\"postmark\":9").into_bytes();
+                }
+            }
             if self.cores[core].running.is_some() {
                 self.at(delay, What::Core(core, life, Input::Call(token, method, path, body)));
             } else {
@@ -630,7 +650,7 @@
         let gateway = &mut self.gateways[number];
         gateway.life += 1;
         gateway.started = self.now;
-        (gateway.copy, gateway.fresh, gateway.agent_due) = (None, None, f64::INFINITY);
+        (gateway.copy, gateway.agent_due) = (Copy::new(&bounds()), f64::INFINITY);
         gateway.agent = Some(Follow::new(&settings, 0.0, &mut out));
         let life = gateway.life;
         self.carry_out(number, out);
@@ -642,7 +662,7 @@
     pub fn kill_gateway(&mut self, number: usize) {
         let gateway = &mut self.gateways[number];
         gateway.agent = None;
-        gateway.copy = None;
+        gateway.copy = Copy::new(&bounds());
         gateway.life += 1;
         let links: Vec<_> =
             self.links.iter().filter(|(_, link)| link.gateway == number).map(|(id, _)| *id).collect();
@@ -801,38 +821,22 @@
 
     // ---- Proxies ----------------------------------------------------------------------------------------------
 
-    /// What a proxy takes from its agent, as `proxy.rs` does.
     fn fed(&mut self, number: usize, news: ToProxy) {
         let now = self.local(number);
-        let gateway = &mut self.gateways[number];
-        let held = gateway.copy.as_ref().map_or(0, |copy| copy.index);
-        if let Some(whole) = news.whole.filter(|whole| whole.index > held) {
-            gateway.copy = Some(State::from_whole(now, whole));
-        }
-        if let Some(copy) = &mut gateway.copy {
-            copy.follow(now, &news.changes);
-            if let Some(mend) = news.mend {
-                copy.mend(now, mend);
-            }
-        }
-        if news.age_ms >= 0.0 {
-            let at = now - news.age_ms;
-            gateway.fresh = Some(gateway.fresh.map_or(at, |fresh| fresh.max(at)));
-        }
-        self.judge.copied(number, self.gateways[number].life, self.gateways[number].copy.as_ref());
+        self.gateways[number].copy.take(now, news);
+        self.judge.copied(number, self.gateways[number].life, self.gateways[number].copy.state());
     }
 
     /// Whether a proxy goes by the keys that it has.
     pub fn goes_by_keys(&self, number: usize) -> bool {
-        let lease = bounds().lease().as_secs_f64() * 1000.0;
         let gateway = &self.gateways[number];
-        gateway.agent.is_some() && gateway.fresh.is_some_and(|at| self.local(number) - at < lease)
+        gateway.agent.is_some() && gateway.copy.in_touch(self.local(number))
     }
 
     fn proxy_speaks(&mut self, number: usize, life: u64) {
-        let held = self.gateways[number].copy.as_ref().map_or(0, |copy| copy.index);
-        let word =
-            FromProxy { front: format!("10.1.0.{}:80", number + 1), ready: held > 0, held, ranges: None };
+        let copy = &mut self.gateways[number].copy;
+        let ready = copy.held() > 0;
+        let word = copy.word(format!("10.1.0.{}:80", number + 1), ready);
         self.agent(number, life, follow::Event::Proxy { link: 1, word });
         if self.gateways[number].life == life {
             self.at(20.0, What::Proxy(number, life));
