Leave in order: a core process that is told to end is let go by the others first

Need: a member that was leaving held the only copy; a leaver just ended. Cause: told to end, a process handed the lead over at best, and ended after 0.4 s whoever needed it. Change: it says with each answer that it leaves, and the leader tells it when it may: its place has been handed to a listener, or (none is there) a majority without it holds all that is agreed on. With three members and nobody in its place it stays in the list, as two of two bear less than two of three and it may be back within a second. Time is up after 0.4 of grace; then it says that it is needed, and ends. status tells who is missing, is being filled, listens, and what is borne.

--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -35,8 +35,9 @@
 const HEAD: Duration = Duration::from_secs(5);
 /// Between two tries to reach another process.
 const AGAIN: Duration = Duration::from_millis(100);
-/// A core process that is told to end hands over within this.
-const HAND_OVER: Duration = Duration::from_millis(400);
+/// A core process that is told to end is let go by the others within this part of `grace`, or ends all the same: the rest
+/// is for the process that comes after it.
+const LEAVE: f64 = 0.4;
 
 /// A core process.
 pub struct Control {
@@ -102,9 +103,19 @@
         });
         term.recv().await;
         log::info!("core: told to end");
-        if control.member.borrow().leads() {
-            control.step(Event::End);
-            sleep(HAND_OVER).await;
+        control.step(Event::End);
+        let (since, most) = (Instant::now(), control.settings.bounds.grace.mul_f64(LEAVE));
+        while control.member.borrow().left().is_none() && since.elapsed() < most {
+            sleep(Duration::from_secs_f64(TICK_MS / 1000.0)).await;
+        }
+        match control.member.borrow().left() {
+            Some(true) => log::info!("core: ends, and is no member any more"),
+            Some(false) => {
+                log::info!("core: ends as a member: the others hold all, and none could take its place")
+            }
+            None => {
+                log::warn!("core: ends, and is needed: no majority without it holds all that is agreed on")
+            }
         }
         control.ended.set(true);
         Ok(())
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -88,7 +88,7 @@
     Closed(u64),
     /// The settings name other core processes.
     Seeds(Vec<SocketAddr>),
-    /// The process is told to end.
+    /// The process is told to end: it goes on until [`Member::left`] says that it may, or time is up.
     End,
 }
 
@@ -287,6 +287,11 @@
         &self.agreement
     }
 
+    /// What a process that was told to end may do: see [`Agreement::left`].
+    pub fn left(&self) -> Option<bool> {
+        self.agreement.left()
+    }
+
     /// Whether it may answer for all.
     fn vouches(&self, now: Millis) -> bool {
         self.agreement.vouches(now)
@@ -308,8 +313,7 @@
             Event::Charged { link, charges } => self.charged(now, link, &charges, out),
             Event::Closed(link) => drop(self.agents.remove(&link)),
             Event::Seeds(seeds) => self.seeds = seeds,
-            Event::End if self.leads() => self.next.push_back(Next::Event(agreement::Event::Resign)),
-            Event::End => {}
+            Event::End => self.next.push_back(Next::Event(agreement::Event::Leave)),
         }
         self.go_on(now, out);
     }
@@ -437,6 +441,9 @@
 
     fn apply(&mut self, now: Millis, entry: &Entry, out: &mut Vec<Action>) {
         self.applied = true;
+        if !entry.new_members.is_empty() {
+            log::info!("core: the members are {}", entry.new_members.join(", "));
+        }
         let touched = self.state.apply(now, entry.index, change_in(entry).as_ref());
         if touched == Touched::Config {
             self.take_limits();
--- a/overland/src/member/presence.rs
+++ b/overland/src/member/presence.rs
@@ -202,6 +202,7 @@
             zone: zone.clone(),
             ..line
         });
+        let roll = agreement.roll(now).unwrap_or_default();
         let count =
             |(tenant, per_s, units): (&str, f64, i64)| CountLine { tenant: tenant.to_owned(), per_s, units };
         Status {
@@ -214,6 +215,10 @@
             digest: format!("{:016x}", self.digest.of(state)),
             log: agreement.log_length() as u64,
             members: agreement.members().to_vec(),
+            missing: roll.missing,
+            filling: roll.filling,
+            listeners: roll.listeners,
+            borne: roll.borne as u64,
             edition: state.config.as_ref().map_or(String::new(), |config| format!("r{}", config.edition)),
             evacuated: state.evacuated.iter().cloned().collect(),
             gateways: state.gateways.values().map(gateway).collect(),
--- a/overland/src/status.rs
+++ b/overland/src/status.rs
@@ -46,6 +46,14 @@
     pub log: u64,
     /// The members of the core.
     pub members: Vec<String>,
+    /// Members that it has not heard lately, where it leads.
+    pub missing: Vec<String>,
+    /// Members whose disk is new and is being filled, where it leads.
+    pub filling: Vec<String>,
+    /// Those that listen and take the place of a lost member, where it leads.
+    pub listeners: Vec<String>,
+    /// Members that may be lost now, all at once, with a majority left, where it leads.
+    pub borne: u64,
     /// The configuration in force; empty before the first.
     pub edition: String,
     /// Zones that are emptied.
@@ -155,6 +163,16 @@
     let mut text = String::new();
     let edition = if best.edition.is_empty() { "none" } else { &best.edition };
     writeln!(text, "configuration {edition}, change {}, emptied: {}\n", best.index, listed(&best.evacuated))?;
+    if best.vouches {
+        let Status { missing, filling, listeners, borne, members, .. } = best;
+        let (missing, filling, listeners) = (listed(missing), listed(filling), listed(listeners));
+        writeln!(
+            text,
+            "members: {}, missing: {missing}, filling: {filling}, listening: {listeners}",
+            members.len()
+        )?;
+        writeln!(text, "borne now: {borne} more\n")?;
+    }
     writeln!(text, "core\tmachine\tstate\tterm\tchange\tcopy\tlog")?;
     for (address, answer) in answers {
         match answer {
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -121,6 +121,8 @@
     idle_until: f64,
     /// Machines that were never members at the first start.
     pub founder: bool,
+    /// It is lost for good.
+    pub gone: bool,
 }
 
 /// A gateway: its agent, and its proxy's copy.
@@ -274,6 +276,7 @@
             saved: None,
             idle_until: 0.0,
             founder,
+            gone: false,
         };
         let cores = (0..founders + others).map(|n| core(&mut rng, n < founders)).collect();
         let gateway = |rng: &mut fastrand::Rng| Gateway {
@@ -421,7 +424,7 @@
 
     /// A core process starts, from what its disk holds.
     pub fn start_core(&mut self, number: usize, first: bool) {
-        if self.cores[number].running.is_some() {
+        if self.cores[number].running.is_some() || self.cores[number].gone {
             return;
         }
         let settings =
