Hand the lead to nobody that is told to end, too

Cause: told to end one after the other, and none ending at once, members handed the lead round among themselves.

--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -398,8 +398,9 @@
     fn resign(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let last = self.last();
         let Role::Leader(lead) = &mut self.role else { return };
-        let best =
-            lead.peers.iter().filter(|(_, p)| p.counts && p.matched == last && now - p.heard < LEASE_MS);
+        // Who is told to end, too, would hand over again.
+        let able = |p: &Progress| p.counts && !p.leaving && p.matched == last && now - p.heard < LEASE_MS;
+        let best = lead.peers.iter().filter(|(_, p)| able(p));
         let best = best.max_by(|a, b| a.1.heard.total_cmp(&b.1.heard)).map(|(name, _)| name.clone());
         // Where none is up to date a majority finds the next.
         if let Some(to) = best {
