--- a/overland/src/agreement/members.rs
+++ b/overland/src/agreement/members.rs
@@ -141,11 +141,11 @@
         self.membership = self.log.iter().fold(first, Membership::behind);
     }
 
-    /// The members behind the last applied entry; none while they change, as a log can't begin there.
-    pub(super) fn applied_members(&self) -> Option<Vec<Name>> {
-        let applied = (self.applied - self.base.index) as usize;
+    /// The members behind this entry; none while they change, as a log can't begin there.
+    pub(super) fn members_at(&self, index: u64) -> Option<Vec<Name>> {
+        let behind = index.saturating_sub(self.base.index) as usize;
         let first = Membership::of(&self.base.members);
-        let membership = self.log.iter().take(applied).fold(first, Membership::behind);
+        let membership = self.log.iter().take(behind).fold(first, Membership::behind);
         membership.next.is_none().then_some(membership.present)
     }
 
@@ -192,7 +192,7 @@
     fn wanted(&self, lead: &Lead, now: Millis) -> Option<Vec<Name>> {
         let present = &self.membership.present;
         let ready = |p: &Progress| {
-            let near = p.matched + BATCH.0 as u64 >= self.commit;
+            let near = p.matched + BATCH as u64 >= self.commit;
             p.counts && near && !p.leaving && now - p.heard < PRESENT_MS
         };
         let mut ready: Vec<&Name> = lead.joining.iter().filter(|(_, p)| ready(p)).map(|(n, _)| n).collect();
--- a/overland/src/agreement/role.rs
+++ b/overland/src/agreement/role.rs
@@ -1,5 +1,6 @@
 //! What a member is to the others, and what a leader knows of each.
 
+use super::snapshot::Sending;
 use super::Name;
 use cherrytally::Millis;
 use std::collections::{BTreeMap, BTreeSet};
@@ -73,6 +74,10 @@
     pub(super) counts: bool,
     /// It has all that was agreed on, so its word may count.
     pub(super) welcome: bool,
+    /// The state that it is sent, where the log no longer reaches back to it.
+    pub(super) sending: Option<Sending>,
+    /// Bytes of entries that were sent since it last had answered for all.
+    pub(super) flight: usize,
     /// Since when something is out that it has not answered.
     pub(super) out_since: Option<Millis>,
     pub(super) sent: Millis,
@@ -95,6 +100,8 @@
             matched: 0,
             counts: false,
             welcome: false,
+            sending: None,
+            flight: 0,
             out_since: None,
             sent: never,
             heard: now,
@@ -104,4 +111,24 @@
             released: false,
         }
     }
+
+    /// It answered what was sent then, and said whether it leaves, or nothing of that. False where that is of no use: it is
+    /// of a disk that it has lost since.
+    pub(super) fn answered(&mut self, now: Millis, at: Millis, counts: bool, leaving: Option<bool>) -> bool {
+        if !counts {
+            self.emptied = now;
+        } else if at < self.emptied {
+            return false;
+        }
+        if let Some(leaving) = leaving.filter(|_| at >= self.asked) {
+            (self.leaving, self.released) = (leaving, self.released && leaving);
+        }
+        (self.heard, self.asked) = (now, self.asked.max(at));
+        if self.counts && !counts {
+            // Its disk is new: what it held is gone.
+            (self.matched, self.welcome) = (0, false);
+        }
+        self.counts = counts;
+        true
+    }
 }
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -36,8 +36,14 @@
 pub const TICK_MS: Millis = 25.0;
 /// A caller waits a second for an answer; it has one before that, in ms.
 pub const CALL_MS: Millis = 850.0;
-/// Log entries before the state takes their place.
-const LOG_MOST: usize = 512;
+/// A process that was told of no time for so long stood still, in ms: what comes in then may be as old. Callers wait a
+/// second; a busy machine keeps a process from its processor for some hundred.
+const STOOD_STILL_MS: Millis = 300.0;
+/// All that waited in sockets is read within so long after that, in ms.
+const WAKES_MS: Millis = 100.0;
+/// After so many changes the state takes the place of the log before them. All members have the same states at the same
+/// numbers then, as far as no backend is cold: what came of one goes on at the next leader.
+const LOG_MOST: u64 = 512;
 /// A leader with a slow disk hands over no more often, in ms: with all disks slow there is nobody better.
 const HAND_AGAIN_MS: Millis = 10_000.0;
 
@@ -136,6 +142,33 @@
     Stop(String),
 }
 
+/// An answer is written within so long after it was decided, in ms. It was decided within a lease, 550 ms after a majority
+/// was asked; no other leads within 700 ms after that. The rest is for clocks at different rates.
+pub const WRITTEN_MS: Millis = 100.0;
+
+impl Action {
+    /// What is left of it when it is carried out only now: a process that stood still since, or waited for its disk, gives no
+    /// answer that it decided before.
+    pub fn fenced(self, decided: Millis, now: Millis) -> Action {
+        let late = now - decided > WRITTEN_MS;
+        match self {
+            Action::Answer { call, reply } if late && reply.status < 500 => {
+                Action::Answer { call, reply: Refusal::Later.reply() }
+            }
+            Action::Tell { to, mut word } => {
+                if let Word::Answer(answer) = &mut *word {
+                    if late && answer.status < 500 {
+                        let Reply { status, body, .. } = Refusal::Later.reply();
+                        (answer.status, answer.body) = (u32::from(status), body.into_bytes());
+                    }
+                }
+                Action::Tell { to, word }
+            }
+            action => action,
+        }
+    }
+}
+
 /// Who waits for an answer.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Caller {
@@ -197,6 +230,8 @@
     /// What it is to be told after that.
     next: VecDeque<Next>,
     saving: bool,
+    /// A change was agreed on that can't be read here: another should lead.
+    unread: bool,
     /// The state has changed since agents were last told.
     applied: bool,
     /// The agents were told that it leads.
@@ -212,6 +247,10 @@
     /// The number of the next call that is passed on.
     number: u64,
     ticks: u32,
+    /// When it was last told of time.
+    ticked: Millis,
+    /// Until then what it is called with may have waited while it stood still.
+    wakes_until: Millis,
     rng: fastrand::Rng,
 }
 
@@ -222,8 +261,27 @@
     ) -> Result<(Member, Option<Save>)> {
         let address = settings.control.ok_or_else(|| eyre!("network.docks_at.control is missing"))?;
         let me = address.to_string();
+        let mut whole = Whole::default();
+        let mut damaged = false;
+        if let Some(saved) = &disk {
+            match Whole::decode(&saved.base.state[..]) {
+                Ok(read) => whole = read,
+                Err(_) => damaged = true,
+            }
+        }
+        // A disk that can't be read is as good as an empty one that has forgotten its vote: it founds nothing, votes for
+        // nobody at first and counts only once a leader has filled it up.
+        let lost = damaged.then(|| {
+            log::error!("core: the state on disk can't be read: it is filled up from the others");
+            Saved::default()
+        });
+        let disk = lost.or(disk);
         let founds = disk.is_none() && settings.first_start && settings.seeds.contains(&address);
         let (saved, first) = match disk {
+            Some(saved) if damaged => {
+                let (vow, base) = (saved.vow.clone(), Some(saved.base.clone()));
+                (saved, Some(Save { vow, entries: Some((0, Vec::new())), base }))
+            }
             Some(saved) => (saved, None),
             None if founds => {
                 let saved = Agreement::found(settings.seeds.iter().map(SocketAddr::to_string).collect());
@@ -238,12 +296,10 @@
             saved.base.index,
             if founds { "founds" } else { "known" }
         );
-        let whole =
-            Whole::decode(&saved.base.state[..]).map_err(|_| eyre!("the state on disk can't be read"))?;
         let state = State { index: saved.base.index, ..State::from_whole(now, whole) };
         let member = Member {
             seeds: settings.seeds.clone(),
-            agreement: Agreement::new(me.clone(), saved, seed, now),
+            agreement: Agreement::new(me.clone(), saved, seed, now).reading(readable),
             settings,
             me,
             state,
@@ -251,6 +307,7 @@
             behind: VecDeque::new(),
             next: VecDeque::new(),
             saving: false,
+            unread: false,
             applied: false,
             told: false,
             pace: Pace::default(),
@@ -262,6 +319,8 @@
             count: count::Count::default(),
             number: seed >> 16,
             ticks: 0,
+            ticked: now,
+            wakes_until: now,
             rng: fastrand::Rng::with_seed(seed),
         };
         Ok((member, first))
@@ -294,7 +353,7 @@
 
     /// Whether it may answer for all.
     fn vouches(&self, now: Millis) -> bool {
-        self.agreement.vouches(now)
+        !self.unread && self.agreement.vouches(now)
     }
 
     /// Takes in one event and appends what is to be done.
@@ -320,6 +379,11 @@
 
     fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
         self.ticks = self.ticks.wrapping_add(1);
+        if self.stood_still(now) {
+            log::warn!("core: stood still for {:.0} ms", now - self.ticked);
+            self.wakes_until = now + WAKES_MS;
+        }
+        self.ticked = now;
         self.next.push_back(Next::Event(agreement::Event::Tick));
         self.go_on(now, out);
         if self.ticks.is_multiple_of(HOUSE_TICKS) {
@@ -328,17 +392,30 @@
         if self.ticks.is_multiple_of(COMPARE_TICKS) && self.leads() {
             self.compare(out);
         }
-        let late: Vec<_> =
-            self.calls.iter().filter(|(_, w)| now > w.until).map(|(caller, _)| caller.clone()).collect();
-        for caller in late {
+        self.let_late_go(now, out);
+        self.enforce(now, out);
+    }
+
+    /// Calls whose time is over, and those that this process can do nothing for: who leads and is cut off from a majority
+    /// vouches for nothing, and who was passed a call and fell silent answers none. Another can, or the same one later.
+    fn let_late_go(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let vouches = self.vouches(now);
+        let hopeless = |waiting: &Waiting| match &waiting.stage {
+            Stage::Passed(passed) => !self.hears_leader(now, passed.to()),
+            _ => !vouches,
+        };
+        let late = self.calls.iter().filter(|(_, w)| now > w.until || hopeless(w));
+        for caller in late.map(|(caller, _)| caller.clone()).collect::<Vec<_>>() {
             self.refuse(&caller, &Refusal::Later, out);
         }
-        self.enforce(now, out);
     }
 
     /// What is done now and then.
     fn keep_house(&mut self, now: Millis, out: &mut Vec<Action>) {
         self.ask_to_join(out);
+        if self.unread && self.leads() {
+            self.next.push_back(Next::Event(agreement::Event::Resign));
+        }
         self.agents.retain(|_, agent| now - agent.heard < presence::GONE_MS);
         if !self.vouches(now) {
             return;
@@ -369,7 +446,6 @@
             if let Some(action) = self.behind.pop_front() {
                 self.act(now, action, out);
             } else if std::mem::take(&mut self.applied) {
-                self.compact(now);
                 self.push(now, out);
                 if self.vouches(now) && !std::mem::replace(&mut self.told, true) {
                     self.pulse(now, out);
@@ -431,7 +507,7 @@
             agreement::Action::Restore { index, state } => match Whole::decode(&state[..]) {
                 Ok(whole) => {
                     self.state = State { index, ..State::from_whole(now, whole) };
-                    self.applied = true;
+                    (self.applied, self.unread) = (true, false);
                 }
                 Err(_) => out.push(Action::Stop(format!("the state {index} that was sent can't be read"))),
             },
@@ -444,7 +520,16 @@
         if !entry.new_members.is_empty() {
             log::info!("core: the members are {}", entry.new_members.join(", "));
         }
-        let touched = self.state.apply(now, entry.index, change_in(entry).as_ref());
+        let change = change_in(entry);
+        if !entry.data.is_empty() && change.as_ref().is_none_or(|change| change.kind.is_none()) {
+            log::error!(
+                "core: change {} can't be read: it does not lead until its copy is mended",
+                entry.index
+            );
+            self.unread = true;
+        }
+        let touched = self.state.apply(now, entry.index, change.as_ref());
+        self.compact(now);
         if touched == Touched::Config {
             self.take_limits();
         }
@@ -487,20 +572,30 @@
         }
     }
 
+    /// The state takes the place of the log so far, at the same numbers at all members.
     fn compact(&mut self, now: Millis) {
-        if self.agreement.log_length() < LOG_MOST {
+        if !self.state.index.is_multiple_of(LOG_MOST) {
             return;
         }
         let state = self.state.whole(now, true).encode_to_vec();
         let mut actions = Vec::new();
-        self.agreement.compact(state, &mut actions);
+        self.agreement.compact(self.state.index, state, &mut actions);
         self.behind.extend(actions);
     }
 
     // ---- Calls ----------------------------------------------------------------------------------------------
 
+    /// Whether it was told of no time for long.
+    fn stood_still(&self, now: Millis) -> bool {
+        now - self.ticked > STOOD_STILL_MS
+    }
+
     /// A call came.
     fn called(&mut self, now: Millis, caller: Caller, called: &Called, out: &mut Vec<Action>) {
+        if self.stood_still(now) || now < self.wakes_until {
+            // It may have waited in its socket for long: its caller has given up, and may have called others since.
+            return self.refuse(&caller, &Refusal::Later, out);
+        }
         match calls::answer(self, now, called) {
             Served::Now(reply) => self.reply(&caller, reply, out),
             Served::Waits(granted, wait) => {
@@ -547,7 +642,7 @@
             Caller::Outside(call) => out.push(Action::Answer { call: *call, reply }),
             Caller::Member(name, number) => {
                 let (body, status) = (reply.body.into_bytes(), u32::from(reply.status));
-                let answer = Forwarded { number: *number, path: String::new(), body, status };
+                let answer = Forwarded { number: *number, body, status, ..Forwarded::default() };
                 self.tell(name, Word::Answer(answer), out);
             }
         }
@@ -566,11 +661,20 @@
     fn leads(&self) -> bool {
         self.agreement.leads()
     }
+
+    fn vouches(&self, now: Millis) -> bool {
+        self.agreement.vouches(now)
+    }
 }
 
 /// What comes of a call to a member.
 type Granted<A> = Result<Outcome<A, Wait>, Refusal>;
 
+/// Whether a state can be read.
+fn readable(state: &[u8]) -> bool {
+    Whole::decode(state).is_ok()
+}
+
 /// The change in an entry; none in those of the agreement's own.
 fn change_in(entry: &Entry) -> Option<Change> {
     Change::decode(&entry.data[..]).ok().filter(|_| !entry.data.is_empty())
