--- a/overland/src/agreement/members.rs
+++ b/overland/src/agreement/members.rs
@@ -20,6 +20,8 @@
 const LOST_MS: Millis = 9000.0;
 /// A listener takes a place if it was heard within so long, in ms: three beats of the leader.
 pub(super) const PRESENT_MS: Millis = 350.0;
+/// By then a leader has heard of all that listen, in ms: they ask each half second.
+const ASKED_MS: Millis = 1000.0;
 /// Members at most: three may be lost of seven. More would only be more copies to wait for. The rest listens.
 const MEMBERS_MOST: usize = 7;
 /// Members that are left at least when lost ones are left out: two of two bear less than two of three.
@@ -281,7 +283,10 @@
             });
             of != name && (peer || (*of == self.me && self.vow.counts))
         };
+        // One that listens may only be about to have the log, and a new leader may not have heard of it yet.
+        let listens = |p: &Progress| !p.leaving && now - p.heard < SUSPECT_MS;
+        let nobody_comes = now - lead.since > ASKED_MS && !lead.joining.values().any(listens);
         !self.members().contains(name)
-            || (self.wanted(lead, now).is_none() && self.membership.majority(holds))
+            || (nobody_comes && self.wanted(lead, now).is_none() && self.membership.majority(holds))
     }
 }
--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -431,7 +431,7 @@
         }
         self.become_role(
             now,
-            Role::Leader(Lead { first, peers, joining: BTreeMap::new(), resigned: None }),
+            Role::Leader(Lead { first, since: now, peers, joining: BTreeMap::new(), resigned: None }),
             actions,
         );
         // What earlier terms left is agreed on with the first entry of one's own.
--- a/overland/src/agreement/role.rs
+++ b/overland/src/agreement/role.rs
@@ -32,6 +32,8 @@
 pub(super) struct Lead {
     /// The first entry of its term.
     pub(super) first: u64,
+    /// Since when.
+    pub(super) since: Millis,
     pub(super) peers: BTreeMap<Name, Progress>,
     /// Those that are sent the log and want to be members.
     pub(super) joining: BTreeMap<Name, Progress>,
--- a/overland/tests/agreement.rs
+++ b/overland/tests/agreement.rs
@@ -2,7 +2,7 @@
 
 mod histories;
 
-use histories::{play, replaced, World};
+use histories::{left, moved, play, replaced, World};
 use overland::agreement::{Action, Agreement, Append, Entry, Event, Install, Say};
 
 fn histories(usual: usize) -> usize {
@@ -33,6 +33,22 @@
         .for_each(|seed| play(&mut World::new(*seed, 3, 2, None), 0));
 }
 
+#[test]
+fn places_that_are_handed_over_through_cuts_lose_nothing() {
+    bolero::check!().with_iterations(histories(60)).with_type::<u64>().for_each(|seed| {
+        moved(&mut World::new(*seed, 3, 1, None));
+        moved(&mut World::new(*seed, 5, 1, None));
+    });
+}
+
+#[test]
+fn a_loss_as_a_member_leaves_in_order_is_borne() {
+    bolero::check!()
+        .with_iterations(histories(60))
+        .with_type::<u64>()
+        .for_each(|seed| left(&mut World::new(*seed, 3, 1, None)));
+}
+
 /// One of the members is lost for good and replaced, and `catch_up` after the newcomer's start another is lost.
 #[test]
 fn a_second_loss_after_a_replacement_is_borne() {
