--- a/overland/tests/mutants.rs
+++ b/overland/tests/mutants.rs
@@ -4,7 +4,7 @@
 mod finds;
 mod histories;
 
-use histories::{play, Mutant, World};
+use histories::{left, moved, play, replaced, Mutant, World};
 
 /// Histories tried before a fault counts as not found.
 const MOST: u64 = 1500;
@@ -13,25 +13,33 @@
 
 #[test]
 fn each_fault_put_in_on_purpose_is_found() {
-    let mutants = [
-        (Mutant::VoteBeforeSync, 5, 0),
-        (Mutant::EntriesBeforeSync, 3, 0),
-        (Mutant::VoteForgotten, 5, 0),
-        (Mutant::EmptyDiskCounts, 3, 1),
-        (Mutant::FoundsAgain, 3, 1),
-        (Mutant::TermUnchecked, 3, 0),
-        (Mutant::ToldUnreplicated, 3, 0),
-        (Mutant::OldLeaderAnswers, 3, 0),
-        (Mutant::ClockStoodStill, 3, 0),
+    let losing = |wipes| move |world: &mut World| play(world, wipes);
+    let (none, one) = (losing(0), losing(1));
+    let second_loss = |world: &mut World| assert!(replaced(world, 4000.0) <= 15_000.0);
+    type Play<'a> = &'a dyn Fn(&mut World);
+    let (none, one): (Play, Play) = (&none, &one);
+    let mutants: [(Mutant, usize, usize, Play); 12] = [
+        (Mutant::VoteBeforeSync, 5, 0, none),
+        (Mutant::EntriesBeforeSync, 3, 0, none),
+        (Mutant::VoteForgotten, 5, 0, none),
+        (Mutant::EmptyDiskCounts, 3, 0, one),
+        (Mutant::FoundsAgain, 3, 0, one),
+        (Mutant::TermUnchecked, 3, 0, none),
+        (Mutant::ToldUnreplicated, 3, 0, none),
+        (Mutant::OldLeaderAnswers, 3, 0, none),
+        (Mutant::ClockStoodStill, 3, 0, none),
+        (Mutant::SwappedInOneEntry, 3, 1, &moved),
+        (Mutant::PlacedWithoutLog, 3, 1, &second_loss),
+        (Mutant::LeaverJustEnds, 3, 1, &left),
     ];
     let mut missed = Vec::new();
-    for (mutant, founders, wipes) in mutants {
+    for (mutant, founders, others, play) in mutants {
         let draw = |seed| {
-            let mut world = World::new(seed, founders, 0, Some(mutant));
+            let mut world = World::new(seed, founders, others, Some(mutant));
             world.nervous = matches!(mutant, Mutant::VoteBeforeSync | Mutant::VoteForgotten);
             world
         };
-        match finds::shortest(0..MOST, FINDS, draw, |world| play(world, wipes), |world| world.events) {
+        match finds::shortest(0..MOST, FINDS, draw, play, |world| world.events) {
             Some(find) => {
                 println!("{mutant:?}: history {}, {} events: {}", find.seed, find.events, find.text());
             }
--- a/overland/tests/store.rs
+++ b/overland/tests/store.rs
@@ -29,7 +29,7 @@
     let base = |index| Base { index, term: 1, members: members.clone(), state: vec![7; 300] };
     save(&store, Save { vow: vow(1), entries: None, base: Some(base(1)) });
     for index in 2..saves {
-        let entry = Entry { index, term: 1, data: vec![index as u8; 40], new_members: Vec::new() };
+        let entry = Entry { index, term: 1, data: vec![index as u8; 40], ..Entry::default() };
         save(&store, Save { vow: vow(index), entries: Some((index, vec![entry])), base: None });
         if index == saves / 2 {
             save(&store, Save { vow: vow(index), entries: None, base: Some(base(index - 3)) });
@@ -139,8 +139,7 @@
     store.save(&Save { vow: vow.clone(), entries: None, base: Some(base(1)) }).expect("it is saved");
     let mut first = 2;
     while first < entries {
-        let entry =
-            |index: u64| Entry { index, term: 1, data: vec![index as u8; 120], new_members: Vec::new() };
+        let entry = |index: u64| Entry { index, term: 1, data: vec![index as u8; 120], ..Entry::default() };
         // As many as come while one save is under way.
         let entries = (first..first + 64).map(entry).collect::<Vec<_>>();
         store
@@ -184,7 +183,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let database = fjall::Database::builder(folder.path().join("core")).open().expect("a store");
     let keys = database.keyspace("agreement", fjall::KeyspaceCreateOptions::default).expect("keys");
-    let entry = Entry { index: 5, term: 1, data: vec![1], new_members: Vec::new() };
+    let entry = Entry { index: 5, term: 1, data: vec![1], ..Entry::default() };
     keys.insert("vow", vow.encode_to_vec()).expect("it is written");
     // Number and term, one member, no state.
     keys.insert("base", [8, 4, 16, 1, 26, 1, b'a']).expect("it is written");
