Refuse an answer in whose head another begins; tell no target ahead that is no path

Ruled out: the name (it was the right one); the look before use (the bytes came after it).

Change: a head in which a status line stands is refused; the try may have run. The splitter tells nothing ahead whose target is no path: none of these has a route.

--- a/overland/src/ahead.rs
+++ b/overland/src/ahead.rs
@@ -204,6 +204,8 @@
 /// The request as the library reads it.
 fn parts(request: &httparse::Request) -> Option<Parts> {
     let method = Method::from_bytes(request.method?.as_bytes()).ok()?;
+    // What names more or less than a path goes to no route here.
+    request.path.filter(|path| path.starts_with('/'))?;
     let mut parts = Request::new(()).into_parts().0;
     (parts.method, parts.uri) = (method, request.path?.parse::<Uri>().ok()?);
     let mut headers = HeaderMap::with_capacity(request.headers.len());
--- a/overland/tests/readers.rs
+++ b/overland/tests/readers.rs
@@ -132,6 +132,7 @@
     let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
     if method.is_empty()
         || method == "CONNECT"
+        || !path.starts_with('/')
         || !method.bytes().all(token)
         || version != "HTTP/1.1"
         || first.next().is_some()
@@ -272,6 +273,12 @@
             _ => {}
         }
     }
+    // A second answer that begins inside this one's head.
+    let begins = |from: &str| from.get(9..12).is_some_and(|of| of.bytes().all(|b| b.is_ascii_digit()));
+    let marks = text.match_indices("HTTP/1.").map(|(at, _)| at);
+    if marks.filter(|at| *at > 0 && text.get(at + 8..at + 9) == Some(" ")).any(|at| begins(&text[at..])) {
+        return None;
+    }
     let mut at = end + 4;
     if chunked && (length.is_some() || version != "HTTP/1.1") {
         return None;
@@ -360,6 +367,18 @@
     drive(answers);
 }
 
+#[test]
+fn what_is_left_of_a_surplus_answer_lends_its_status_to_no_other() {
+    for left in ["HTTP/1.1 200 ", "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nDate: Mon"] {
+        let due = "HTTP/1.1 500 No\r\nRequest-Id: 1\r\nStamp: s\r\nContent-Length: 0\r\n\r\n";
+        let bytes = format!("{left}{due}");
+        let mut reader = Reader::new(Pieces { bytes: bytes.as_bytes(), pieces: &[], at: 0 });
+        let mut read = std::pin::pin!(reader.answer(100));
+        let read = read.as_mut().poll(&mut Context::from_waker(std::task::Waker::noop()));
+        assert!(matches!(read, Poll::Ready(Err(_))), "{left:?}");
+    }
+}
+
 // ---- Answers to charges ---------------------------------------------------------------------------------------------
 
 fn charges(drawn: &[u8]) {
--- a/src/plane/http.rs
+++ b/src/plane/http.rs
@@ -267,6 +267,16 @@
         || matches!(head, [b'\r' | b'\n', ..])
 }
 
+/// Whether a second answer begins inside a head: what was left of a surplus one, and right behind it the answer that is due,
+/// would pass for one with the status of the first and the name of the second.
+fn glued(head: &[u8]) -> bool {
+    let begins = |from: &[u8]| {
+        matches!(from, [b'H', b'T', b'T', b'P', b'/', b'1', b'.', _, b' ', status @ ..]
+            if status.len() >= 3 && status[..3].iter().all(u8::is_ascii_digit))
+    };
+    (1..head.len()).any(|at| head[at] == b'H' && begins(&head[at..]))
+}
+
 /// Whether a line that tells where an answer ends goes on in the next one: some read that, and others do not.
 fn folded(head: &[u8]) -> bool {
     let folds = |line: &[u8]| matches!(line, [b' ' | b'\t', ..]);
@@ -301,6 +311,9 @@
     if lone_end(&buf[..used]) {
         return Err(bad("a lone LF, or a line before the answer"));
     }
+    if glued(&buf[..used]) {
+        return Err(bad("an answer in another's head"));
+    }
     if folded(&buf[..used]) {
         return Err(bad("framing over several lines"));
     }
