The lab: slopes of messages and of state, measured by single parts without sockets

Ruled out: resident memory of the process (the allocator keeps what was freed); heap bytes are counted instead. Nothing of the programs changes.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,12 +4,31 @@
 use granite_lab::plan::Plan;
 use granite_lab::plans::{self, PLANS};
 use granite_lab::report;
+use granite_lab::scale::weigh::{self, Heap};
 use granite_lab::stage::{play, play_watched, Options};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
 use std::time::Duration;
 
+/// Counts what this process holds, for `slopes`.
+#[global_allocator]
+static HEAP: peak_alloc::PeakAlloc = peak_alloc::PeakAlloc;
+
+struct Counted;
+
+impl Heap for Counted {
+    fn now(&self) -> usize {
+        HEAP.current_usage()
+    }
+
+    fn peak(&self) -> usize {
+        let peak = HEAP.peak_usage();
+        HEAP.reset_peak_usage();
+        peak
+    }
+}
+
 #[derive(Parser)]
 #[command(version, about = "Plays plans of faults on a fleet of real gateways")]
 struct Cli {
@@ -54,6 +73,15 @@
         #[arg(long, value_name = "DIR")]
         keep: Option<PathBuf>,
     },
+    /// Measures what each message and each part of the state costs, in this process alone, in under three minutes.
+    Slopes {
+        /// Of what is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Writes all points to a file as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
     /// Reads plans and says what is wrong with them.
     Check {
         /// Plans.
@@ -100,6 +128,16 @@
             print!("{text}");
             Ok(true)
         }
+        Verb::Slopes { seed, json } => {
+            let said = |what: &str| eprintln!("weighs: {what}");
+            let slopes = weigh::weigh(*seed, &Counted, &said)?;
+            print!("{}", weigh::text(&slopes));
+            if let Some(file) = json {
+                let text = serde_json::to_string(&slopes).map_err(|e| e.to_string())?;
+                std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+            }
+            Ok(true)
+        }
         Verb::Check { plans } => {
             for name in plans {
                 read(name)?;
