The lab: granite-lab scale, real core processes before hollow gateways

Need: what a change costs by role, and how long it takes until it is in force, at sizes that no stage here plays. Real core processes, one real agent and proxy, hollow gateways in four threads (the agent's own rules, the proxy's copy, table and limits, without clients) and backends that beat; changes one after the other, restarts, a zone's return; a sum of memory, descriptors and processes that is refused before anything starts; text, lines of JSON, SVG plots, and the forecast of the slopes beside each run. Ruled out: all hollow gateways with tables (196 ms each at the full table, on a thread that they share, would be their neighbours' time): so many hold all that a thread makes them in half a second. Nothing of the programs changes.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,7 +4,9 @@
 use granite_lab::plan::Plan;
 use granite_lab::plans::{self, PLANS};
 use granite_lab::report;
+use granite_lab::scale::draw::Size;
 use granite_lab::scale::weigh::{self, Heap};
+use granite_lab::scale::{self, forecast, run};
 use granite_lab::stage::{play, play_watched, Options};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -82,6 +84,32 @@
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
+    /// Real core processes before hollow gateways: how long changes take, and what they cost, by size.
+    ///
+    /// Hollow gateways carry no traffic, and loopback has no distance.
+    Scale {
+        /// Numbers of gateways, each played with each part of the table.
+        #[arg(long, value_delimiter = ',', default_value = "30,100,300,930", value_name = "N,N")]
+        gateways: Vec<usize>,
+        /// Routes and tenants, in 100 of 7,600 and 29,000.
+        #[arg(long, value_delimiter = ',', default_value = "1,10,100", value_name = "N,N")]
+        percent: Vec<f64>,
+        /// Of what is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Changes of the configuration in each run.
+        #[arg(long, default_value_t = 20)]
+        changes: u64,
+        /// The folder with the system's programs; without it that of this program.
+        #[arg(long, value_name = "DIR")]
+        programs: Option<PathBuf>,
+        /// What `slopes --json` wrote: its forecast stands beside each run.
+        #[arg(long, value_name = "FILE")]
+        slopes: Option<PathBuf>,
+        /// A folder for `runs.jsonl`, to which a line is added for each run, and for the plots of these runs.
+        #[arg(long, value_name = "DIR")]
+        out: Option<PathBuf>,
+    },
     /// Reads plans and says what is wrong with them.
     Check {
         /// Plans.
@@ -138,6 +166,13 @@
             }
             Ok(true)
         }
+        Verb::Scale { gateways, percent, seed, changes, programs, slopes, out } => {
+            let own = std::env::current_exe().map_err(|e| format!("this program: {e}"))?;
+            let beside = own.parent().unwrap_or(Path::new(".")).to_owned();
+            let programs = programs.clone().unwrap_or(beside);
+            let options = run::Options { programs, seed: *seed, changes: *changes };
+            scale(&options, gateways, percent, slopes.as_deref(), out.as_deref())
+        }
         Verb::Check { plans } => {
             for name in plans {
                 read(name)?;
@@ -193,6 +228,47 @@
     }
 }
 
+/// Plays all sizes, each in turn. True if all were played to their end.
+fn scale(
+    options: &run::Options, gateways: &[usize], percents: &[f64], slopes: Option<&Path>, out: Option<&Path>,
+) -> Result<bool, String> {
+    if let Some(bad) = percents.iter().find(|percent| !(0.01..=100.0).contains(*percent)) {
+        return Err(format!("--percent {bad}: from 0.01 to 100"));
+    }
+    if gateways.contains(&0) || options.changes == 0 {
+        return Err("--gateways and --changes: 1 at least".to_owned());
+    }
+    let slopes: Vec<weigh::Slope> = match slopes {
+        Some(file) => {
+            let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+            serde_json::from_str(&text).map_err(|e| format!("{}: {e}", file.display()))?
+        }
+        None => Vec::new(),
+    };
+    let mut runs = Vec::new();
+    for percent in percents {
+        for gateways in gateways {
+            let said = |what: &str| eprintln!("{gateways} x {percent}: {what}");
+            let outcome = run::play(options, Size::of(*gateways, *percent), *percent, &said)?;
+            print!("{}", scale::report::text(&outcome));
+            if outcome.failed.is_none() && !slopes.is_empty() {
+                print!("{}", forecast::text(&forecast::Model(&slopes).beside(&outcome)));
+            }
+            if let Some(folder) = out {
+                std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+                let line = serde_json::to_string(&outcome).map_err(|e| e.to_string())?;
+                writeln!(append(&folder.join("runs.jsonl"))?, "{line}")
+                    .map_err(|e| format!("the results: {e}"))?;
+            }
+            runs.push(outcome);
+        }
+    }
+    if let Some(folder) = out {
+        scale::report::plots(&runs, folder)?;
+    }
+    Ok(runs.iter().all(|run| run.failed.is_none()))
+}
+
 /// A request that a person can send while the demo runs.
 fn curl(gateway: std::net::SocketAddr) -> String {
     format!(
--- a/lab/src/scale/fit.rs
+++ b/lab/src/scale/fit.rs
@@ -1,9 +1,9 @@
 //! Lines through measured points: *a + b x n*, and how well they fit.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// A line through points, by least squares.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Line {
     /// What stands at nought.
     pub a: f64,
--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -5,7 +5,7 @@
 
 use cherrytally::{Class, Millis};
 use overland::follow::{Action, Event, Follow};
-use overland::news::{FromAgent, FromProxy, ToAgent, ToProxy};
+use overland::news::{FromAgent, FromProxy, Kind, Numbered, ToAgent, ToProxy, Whole};
 use overland::routes::{Numbers, Table, Zones};
 use overland::settings::Settings;
 use overland::state::{Digest, State, Touched};
@@ -69,6 +69,16 @@
         }
     }
 
+    /// What came since an earlier look.
+    pub fn since(mut self, before: &Counts) -> Counts {
+        for (mine, theirs) in self.parts().into_iter().zip({ *before }.parts()) {
+            mine.messages = mine.messages.saturating_sub(theirs.messages);
+            mine.bytes = mine.bytes.saturating_sub(theirs.bytes);
+            mine.cpu_s -= theirs.cpu_s;
+        }
+        self
+    }
+
     fn parts(&mut self) -> [&mut Count; 6] {
         [
             &mut self.whole,
@@ -97,8 +107,20 @@
     time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
 }
 
+/// What a hollow proxy holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Holds {
+    /// All that the real one holds of the system's state.
+    All,
+    /// The number of its copy alone: it tells its agent the same, and takes no time to make a table.
+    Number,
+}
+
 /// What a proxy holds and tells, without its traffic. It goes by a message as the real proxy does.
 pub struct HollowProxy {
+    holds: Holds,
+    /// The number and the edition, where it holds no more.
+    number: (u64, u64),
     settings: Settings,
     zones: Zones,
     state: Option<State>,
@@ -114,8 +136,10 @@
 
 impl HollowProxy {
     /// A proxy that starts.
-    pub fn new(settings: Settings) -> Self {
+    pub fn new(settings: Settings, holds: Holds) -> Self {
         HollowProxy {
+            holds,
+            number: (0, 0),
             zones: Zones::new(&settings.zones),
             state: None,
             digest: Digest::default(),
@@ -134,8 +158,8 @@
         let differs = std::mem::take(&mut self.differs);
         FromProxy {
             front: self.settings.front.map(|front| front.to_string()).unwrap_or_default(),
-            ready: self.table.is_some() && self.in_touch(now),
-            held: self.state.as_ref().map_or(0, |state| state.index),
+            ready: (self.table.is_some() || self.number.1 > 0) && self.in_touch(now),
+            held: self.held(),
             ranges: self.state.as_ref().filter(|_| differs).map(State::ranges),
         }
     }
@@ -143,7 +167,15 @@
     /// Takes in a message. The edition that it goes by from now on, if that has changed.
     pub fn take(&mut self, now: Millis, news: ToProxy) -> Option<u64> {
         let ToProxy { whole, changes, age_ms, index, digest, mend, .. } = news;
-        let held = self.state.as_ref().map_or(0, |state| state.index);
+        if age_ms >= 0.0 {
+            let at = now - age_ms;
+            self.fresh = Some(self.fresh.map_or(at, |fresh| fresh.max(at)));
+            self.tally.touched(at);
+        }
+        let held = self.held();
+        if self.holds == Holds::Number {
+            return self.count(held, whole.as_ref(), &changes);
+        }
         let mut touched = Vec::new();
         if let Some(whole) = whole.filter(|whole| whole.index > held) {
             self.state = Some(State::from_whole(now, whole));
@@ -159,17 +191,32 @@
                 self.differs = true;
             }
         }
-        if age_ms >= 0.0 {
-            let at = now - age_ms;
-            self.fresh = Some(self.fresh.map_or(at, |fresh| fresh.max(at)));
-            self.tally.touched(at);
-        }
         if touched.contains(&Touched::Gateways) {
             self.tally.gateways(self.state.as_ref().map_or(1, |state| state.gateways.len()));
         }
         touched.contains(&Touched::Config).then(|| self.configure(now)).flatten()
     }
 
+    fn held(&self) -> u64 {
+        self.state.as_ref().map_or(self.number.0, |state| state.index)
+    }
+
+    /// Goes on to the number of what came, where it holds no more than that.
+    fn count(&mut self, held: u64, whole: Option<&Whole>, changes: &[Numbered]) -> Option<u64> {
+        let before = self.number.1;
+        if let Some(whole) = whole.filter(|whole| whole.index > held) {
+            self.number = (whole.index, whole.config.as_ref().map_or(before, |config| config.edition));
+        }
+        let follows = self.number.0 > 0;
+        for numbered in changes.iter().filter(|numbered| follows && numbered.index > held) {
+            self.number.0 = numbered.index;
+            if let Some(Kind::Configured(config)) = numbered.change.as_ref().and_then(|c| c.kind.as_ref()) {
+                self.number.1 = config.edition;
+            }
+        }
+        Some(self.number.1).filter(|edition| *edition != before)
+    }
+
     fn configure(&mut self, now: Millis) -> Option<u64> {
         let config = self.state.as_ref()?.config.as_ref()?;
         let former: Vec<Class> = self.table.as_ref().map(|table| table.classes.clone()).unwrap_or_default();
@@ -205,6 +252,8 @@
     End(String),
     /// Tell it.
     Say(String, Box<FromAgent>),
+    /// Its agent holds this edition from now on.
+    Held(u64),
     /// Its proxy goes by this edition from now on.
     InForce(u64),
 }
@@ -218,11 +267,11 @@
 
 impl Hollow {
     /// A gateway that starts, and what it wants at once.
-    pub fn new(settings: &Settings, now: Millis, out: &mut Vec<Out>) -> Self {
+    pub fn new(settings: &Settings, holds: Holds, now: Millis, out: &mut Vec<Out>) -> Self {
         let mut actions = Vec::new();
         let follow = Follow::new(settings, now, &mut actions);
         let mut hollow =
-            Hollow { follow, proxy: HollowProxy::new(settings.clone()), counts: Counts::default() };
+            Hollow { follow, proxy: HollowProxy::new(settings.clone(), holds), counts: Counts::default() };
         hollow.follow.handle(now, Event::ProxyOpen(LINK), &mut actions);
         let word = hollow.proxy.word(now);
         hollow.counts.holds.one(&word);
@@ -241,7 +290,13 @@
         let parts = self.counts.parts();
         parts.into_iter().nth(kind).into_iter().for_each(|count| count.one(&*news));
         let (start, fed) = (thread_s(), self.counts.feeds.cpu_s);
+        let before = self.edition();
+        let at = out.len();
         self.event(now, Event::Said { core, news }, out);
+        if self.edition() != before {
+            // Before it was in force.
+            out.insert(at, Out::Held(self.edition()));
+        }
         // What the proxy part took is its own.
         let took = thread_s() - start - (self.counts.feeds.cpu_s - fed);
         self.counts.parts().into_iter().nth(kind).into_iter().for_each(|count| count.cpu_s += took);
@@ -286,6 +341,12 @@
         }
     }
 
+    /// The edition that its agent holds; nought for none.
+    fn edition(&self) -> u64 {
+        let config = self.follow.state().and_then(|state| state.config.as_ref());
+        config.map_or(0, |config| config.edition)
+    }
+
     /// When it wants to be told of time next.
     pub fn due(&self) -> Millis {
         self.follow.due()
--- a/lab/src/scale/weigh.rs
+++ b/lab/src/scale/weigh.rs
@@ -3,7 +3,7 @@
 
 use super::draw::{zone_of, Drawn, Machine, Size};
 use super::fit::Line;
-use super::hollow::{thread_s, HollowProxy};
+use super::hollow::{thread_s, Holds, HollowProxy};
 use cherrytally::Millis;
 use overland::config::Config;
 use overland::member::{Action, Event, Member, TICK_MS};
@@ -11,7 +11,7 @@
 use overland::settings::Settings;
 use overland::state::{Digest, State};
 use prost::Message;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Bytes of this process's heap at present, and at the peak since it was last asked: none where nobody counts.
 pub trait Heap {
@@ -46,14 +46,14 @@
 const PUSH_MOST_BYTES: usize = 1 << 30;
 
 /// One measured cost at several sizes, and the line through them.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Slope {
     /// What was measured.
-    pub what: &'static str,
+    pub what: String,
     /// Its unit.
-    pub unit: &'static str,
+    pub unit: String,
     /// What it grows with.
-    pub with: &'static str,
+    pub with: String,
     /// The sizes and what was measured there.
     pub points: Vec<(f64, f64)>,
     /// The line.
@@ -65,9 +65,10 @@
 struct Slopes(Vec<Slope>);
 
 impl Slopes {
-    fn note(&mut self, what: &'static str, unit: &'static str, with: &'static str, n: f64, value: f64) {
+    fn note(&mut self, what: &str, unit: &str, with: &str, n: f64, value: f64) {
         let found = self.0.iter().position(|slope| slope.what == what && slope.with == with);
         let at = found.unwrap_or_else(|| {
+            let (what, unit, with) = (what.to_owned(), unit.to_owned(), with.to_owned());
             self.0.push(Slope { what, unit, with, points: Vec::new(), line: Line::default() });
             self.0.len() - 1
         });
@@ -296,7 +297,7 @@
     let settings = gateway_settings(0)?;
     let before = heap.now();
     heap.peak();
-    let mut proxy = HollowProxy::new(settings);
+    let mut proxy = HollowProxy::new(settings, Holds::All);
     let start = thread_s();
     let edition = proxy.take(0.0, ToProxy { whole: Some(whole), age_ms: 0.0, ..ToProxy::default() });
     note("proxy: taking a configuration, until it is in force", "ms", 1000.0 * (thread_s() - start));
