--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -94,6 +94,9 @@
         /// Routes and tenants, in 100 of 7,600 and 29,000.
         #[arg(long, value_delimiter = ',', default_value = "1,10,100", value_name = "N,N")]
         percent: Vec<f64>,
+        /// Backends, whatever the number of gateways; without it 6,900 for 930 gateways, and as many for each.
+        #[arg(long, value_name = "N")]
+        backends: Option<usize>,
         /// Of what is drawn.
         #[arg(long, default_value_t = 1)]
         seed: u64,
@@ -166,12 +169,18 @@
             }
             Ok(true)
         }
-        Verb::Scale { gateways, percent, seed, changes, programs, slopes, out } => {
+        Verb::Scale { gateways, percent, backends, seed, changes, programs, slopes, out } => {
             let own = std::env::current_exe().map_err(|e| format!("this program: {e}"))?;
             let beside = own.parent().unwrap_or(Path::new(".")).to_owned();
             let programs = programs.clone().unwrap_or(beside);
             let options = run::Options { programs, seed: *seed, changes: *changes };
-            scale(&options, gateways, percent, slopes.as_deref(), out.as_deref())
+            let size = |gateways, percent| {
+                let size = Size::of(gateways, percent);
+                Size { backends: backends.unwrap_or(size.backends), ..size }
+            };
+            let sizes =
+                percent.iter().flat_map(|percent| gateways.iter().map(|of| (*percent, size(*of, *percent))));
+            scale(&options, &sizes.collect::<Vec<_>>(), slopes.as_deref(), out.as_deref())
         }
         Verb::Check { plans } => {
             for name in plans {
@@ -230,13 +239,13 @@
 
 /// Plays all sizes, each in turn. True if all were played to their end.
 fn scale(
-    options: &run::Options, gateways: &[usize], percents: &[f64], slopes: Option<&Path>, out: Option<&Path>,
+    options: &run::Options, sizes: &[(f64, Size)], slopes: Option<&Path>, out: Option<&Path>,
 ) -> Result<bool, String> {
-    if let Some(bad) = percents.iter().find(|percent| !(0.01..=100.0).contains(*percent)) {
+    if let Some((bad, _)) = sizes.iter().find(|(percent, _)| !(0.01..=100.0).contains(percent)) {
         return Err(format!("--percent {bad}: from 0.01 to 100"));
     }
-    if gateways.contains(&0) || options.changes == 0 {
-        return Err("--gateways and --changes: 1 at least".to_owned());
+    if sizes.iter().any(|(_, size)| size.gateways == 0 || size.backends == 0) || options.changes == 0 {
+        return Err("--gateways, --backends and --changes: 1 at least".to_owned());
     }
     let slopes: Vec<weigh::Slope> = match slopes {
         Some(file) => {
@@ -246,22 +255,20 @@
         None => Vec::new(),
     };
     let mut runs = Vec::new();
-    for percent in percents {
-        for gateways in gateways {
-            let said = |what: &str| eprintln!("{gateways} x {percent}: {what}");
-            let outcome = run::play(options, Size::of(*gateways, *percent), *percent, &said)?;
-            print!("{}", scale::report::text(&outcome));
-            if outcome.failed.is_none() && !slopes.is_empty() {
-                print!("{}", forecast::text(&forecast::Model(&slopes).beside(&outcome)));
-            }
-            if let Some(folder) = out {
-                std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-                let line = serde_json::to_string(&outcome).map_err(|e| e.to_string())?;
-                writeln!(append(&folder.join("runs.jsonl"))?, "{line}")
-                    .map_err(|e| format!("the results: {e}"))?;
-            }
-            runs.push(outcome);
+    for (percent, size) in sizes {
+        let said = |what: &str| eprintln!("{} x {percent}: {what}", size.gateways);
+        let outcome = run::play(options, *size, *percent, &said)?;
+        print!("{}", scale::report::text(&outcome));
+        if outcome.failed.is_none() && !slopes.is_empty() {
+            print!("{}", forecast::text(&forecast::Model(&slopes).beside(&outcome)));
+        }
+        if let Some(folder) = out {
+            std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+            let line = serde_json::to_string(&outcome).map_err(|e| e.to_string())?;
+            writeln!(append(&folder.join("runs.jsonl"))?, "{line}")
+                .map_err(|e| format!("the results: {e}"))?;
         }
+        runs.push(outcome);
     }
     if let Some(folder) = out {
         scale::report::plots(&runs, folder)?;
--- a/lab/src/scale/report.rs
+++ b/lab/src/scale/report.rs
@@ -23,7 +23,13 @@
         line(format!("NOT played to its end: {why}"));
     }
     if run.start_s.is_finite() {
-        line(format!("up after {} s", short(run.start_s)));
+        line(format!(
+            "up after {} s; {} s later all backends were known and nothing changed; load {} on {} cores",
+            short(run.start_s),
+            short(run.settled_s),
+            short(run.load[0]),
+            run.load[1]
+        ));
     }
     if run.rest_s > 0.0 {
         let rest = &run.rest;
--- a/lab/src/scale/run.rs
+++ b/lab/src/scale/run.rs
@@ -27,11 +27,15 @@
 /// A fleet is up within this, or the run has failed.
 const START_MOST: Duration = Duration::from_secs(90);
 /// A change that is not in force everywhere by then is given up.
-const CHANGE_MOST: Duration = Duration::from_secs(40);
+const CHANGE_MOST: Duration = Duration::from_secs(30);
 /// Changes in a row that are given up, before the run is.
 const GIVEN_UP_MOST: usize = 2;
 /// Longest run of one size.
-const RUN_MOST: Duration = Duration::from_secs(400);
+const RUN_MOST: Duration = Duration::from_secs(240);
+/// Nothing new for so long: a backend beats within it.
+const SETTLED: Duration = Duration::from_secs(3);
+/// Backends and gateways are known within this, or the run has failed.
+const SETTLE_MOST: Duration = Duration::from_secs(90);
 /// The fleet at rest is watched for so long.
 const REST: Duration = Duration::from_secs(6);
 /// Between one change and the next.
@@ -39,6 +43,8 @@
 /// The operator waits so long for an answer to a large call, and between two tries.
 const ANSWER: Duration = Duration::from_secs(10);
 const AGAIN: Duration = Duration::from_millis(200);
+/// Gateways that are named where a change did not come to all.
+const LEFT_TOLD: usize = 20;
 /// How often the fleet's progress is told.
 const TOLD_EVERY: Duration = Duration::from_secs(5);
 
@@ -71,6 +77,10 @@
     pub force_s: Spread,
     /// Gateways at which it was not in force when it was given up.
     pub missing: usize,
+    /// Some of them.
+    pub left: Vec<usize>,
+    /// The gateway that was restarted after it.
+    pub restarted: Option<usize>,
 }
 
 /// What one process used.
@@ -78,7 +88,8 @@
 pub struct Process {
     /// Cores while the fleet was at rest.
     pub rest_cores: f64,
-    /// Processor time for each change, in s, with what it takes at rest meanwhile.
+    /// Processor time for each change, in s, with what it takes at rest meanwhile, for the restarts between them and for
+    /// the zone's return.
     pub change_cpu_s: f64,
     /// Memory at its peak, in MB.
     pub peak_mb: f64,
@@ -103,6 +114,11 @@
     pub failed: Option<String>,
     /// From the first Put until the first edition was in force at all gateways, in s.
     pub start_s: f64,
+    /// From then until all backends and gateways were agreed on, with the quiet behind it, in s.
+    pub settled_s: f64,
+    /// What else the machine had to do when the rest began: processes that want a core, on the average of a minute, and
+    /// its cores.
+    pub load: [f64; 2],
     /// The changes.
     pub changes: Vec<Change>,
     /// A gateway's restart, from its end until the newest edition is in force there, in s.
@@ -145,6 +161,8 @@
             needs,
             failed: None,
             start_s: f64::INFINITY,
+            settled_s: f64::INFINITY,
+            load: [0.0; 2],
             changes: Vec::new(),
             back_s: [f64::INFINITY; 3],
             zone_back_s: f64::INFINITY,
@@ -375,10 +393,11 @@
 #[derive(serde::Deserialize)]
 struct Seen {
     leader: String,
+    index: u64,
 }
 
-/// Who leads, as the first of the core processes that answers tells.
-fn leader(seeds: &[String]) -> Option<usize> {
+/// Who leads and the number of the last change, as the first of the core processes that answers tells.
+fn leader(seeds: &[String]) -> Option<(usize, u64)> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().ok()?;
     runtime.block_on(async {
         for seed in seeds {
@@ -388,13 +407,39 @@
             let Ok(Ok((200, body))) = answer.await else { continue };
             let Ok(seen) = serde_json::from_str::<Seen>(&body) else { continue };
             if let Some(at) = seeds.iter().position(|seed| *seed == seen.leader) {
-                return Some(at);
+                return Some((at, seen.index));
             }
         }
         None
     })
 }
 
+/// Waits until nothing new is agreed on: first beats of backends and the gateways' own entries are behind it. Who leads
+/// then.
+fn settle(seeds: &[String], said: &dyn Fn(&str)) -> Result<usize, String> {
+    let (start, mut quiet, mut last) = (Instant::now(), Instant::now(), None);
+    while start.elapsed() < SETTLE_MOST {
+        let now = leader(seeds);
+        if now != last {
+            said(&format!("change {} is agreed on", now.map_or(0, |(_, index)| index)));
+            (quiet, last) = (Instant::now(), now);
+        }
+        if let Some((leads, _)) = now.filter(|_| quiet.elapsed() > SETTLED) {
+            return Ok(leads);
+        }
+        std::thread::sleep(SETTLED / 5);
+    }
+    let still = last.map_or("nobody leads".to_owned(), |(_, index)| format!("change {index} is the last"));
+    Err(format!("not settled after {} s of first beats: {still}", SETTLE_MOST.as_secs()))
+}
+
+/// Processes that want a core of this machine, on the average of a minute, and its cores.
+fn machine_load() -> [f64; 2] {
+    use procfs::Current;
+    let load = procfs::LoadAverage::current().map_or(0.0, |load| f64::from(load.one));
+    [load, std::thread::available_parallelism().map_or(0.0, |cores| cores.get() as f64)]
+}
+
 // ---- The run ----------------------------------------------------------------------------------------------------
 
 /// The lab's own threads, which end with the run.
@@ -522,6 +567,14 @@
     }
 }
 
+/// Processor time of all processes at the moments that divide a run, and who led.
+#[derive(Default)]
+struct Marks {
+    rest: (Vec<f64>, Vec<f64>),
+    change: Vec<f64>,
+    leads: usize,
+}
+
 /// Plays one size. An error tells why the lab itself could not; what the system could not stands in the outcome.
 pub fn play(options: &Options, size: Size, percent: f64, said: &dyn Fn(&str)) -> Result<Outcome, String> {
     let drawn = Arc::new(Drawn::new(size, options.seed));
@@ -535,8 +588,10 @@
     machine::allow(outcome.needs.descriptors.max(outcome.needs.leader_descriptors))?;
     let mut system = System::start(options, size)?;
     let threads = Threads::start(&system, &drawn, outcome.needs.whole);
-    let played = changes(options, &drawn, &mut system, &threads, &mut outcome, said);
+    let mut marks = Marks::default();
+    let played = changes(options, &drawn, &mut system, &threads, &mut outcome, &mut marks, said);
     outcome.failed = system.ended().or(played.err());
+    figures(&system, &marks, &mut outcome);
     let beats = threads.end()?;
     (outcome.beats_taken, outcome.beats_lost) = (beats.taken, beats.lost);
     outcome.beat_ms = beats.waited_s * 1000.0 / beats.taken.max(1) as f64;
@@ -546,7 +601,7 @@
 /// The first edition, the rest, the changes and the zone's return. An error says what the system did not do.
 fn changes(
     options: &Options, drawn: &Drawn, system: &mut System, threads: &Threads, outcome: &mut Outcome,
-    said: &dyn Fn(&str),
+    marks: &mut Marks, said: &dyn Fn(&str),
 ) -> Result<(), String> {
     let begun = Instant::now();
     let gateways = drawn.size().gateways;
@@ -565,9 +620,10 @@
     }
     outcome.start_s = begun.elapsed().as_secs_f64();
     said(&format!("{gateways} gateways are up after {:.1} s", outcome.start_s));
-    // Backends' first beats and gateways' own entries are behind it.
-    std::thread::sleep(REST / 2);
-    let mut leads = leader(&system.seeds).ok_or("nobody leads after the start")?;
+    let settling = Instant::now();
+    marks.leads = settle(&system.seeds, said)?;
+    outcome.settled_s = settling.elapsed().as_secs_f64();
+    outcome.load = machine_load();
     let counts = |round: &mut u64| {
         *round += 1;
         // All threads have ended if nobody hears.
@@ -577,10 +633,12 @@
     counts(&mut round);
     let (rest_from, rest_start) = (system.cpu_s(), Instant::now());
     std::thread::sleep(REST);
-    let (rest_to, rest_s) = (system.cpu_s(), rest_start.elapsed().as_secs_f64());
+    let rest_s = rest_start.elapsed().as_secs_f64();
+    marks.rest = (rest_from, system.cpu_s());
     counts(&mut round);
     (outcome.rest_s, outcome.rest) = (rest_s, threads.sums(round)?);
-    let (change_from, change_start) = (system.cpu_s(), Instant::now());
+    marks.change = system.cpu_s();
+    let change_start = Instant::now();
     let (mut back, mut given_up) = (Vec::new(), 0);
     for edition in 2..options.changes + 2 {
         if begun.elapsed() > RUN_MOST {
@@ -593,10 +651,21 @@
         let operator = put(system.seeds.clone(), edition as usize, body, start);
         let done = watched.wait(&threads.notes, &all, CHANGE_MOST, said);
         let (acked_s, calls) = operator.join().map_err(|_| "the operator's thread has failed".to_owned())?;
-        let missing = watched.force.iter().filter(|at| at.is_none()).count();
+        let left: Vec<_> = all.iter().copied().filter(|gateway| watched.force[*gateway].is_none()).collect();
+        let missing = left.len();
+        let left = left.into_iter().take(LEFT_TOLD).collect();
         let times = |of: &[Option<f64>]| spread(of.iter().flatten().copied().collect(), gateways);
         let (held_s, force_s) = (times(&watched.held), times(&watched.force));
-        outcome.changes.push(Change { edition, acked_s, calls, held_s, force_s, missing });
+        outcome.changes.push(Change {
+            edition,
+            acked_s,
+            calls,
+            held_s,
+            force_s,
+            missing,
+            left,
+            restarted: None,
+        });
         said(&format!(
             "edition {edition}: in force at 50, 95, 100 in 100 after {:.2}, {:.2}, {:.2} s; acknowledged after {}, {calls} calls",
             force_s[0],
@@ -621,17 +690,19 @@
         let gateway = all.choose(&mut rng).copied().unwrap_or(0);
         let mut watched = Watched::new(edition, Instant::now(), gateways);
         threads.restart(gateway);
+        if let Some(change) = outcome.changes.last_mut() {
+            change.restarted = Some(gateway);
+        }
         if watched.wait(&threads.notes, &[gateway], CHANGE_MOST, said) {
             back.extend(watched.force[gateway]);
         }
-        if let Some(now) = leader(&system.seeds).filter(|now| *now != leads) {
-            (leads, outcome.leaders) = (now, outcome.leaders + 1);
+        if let Some((now, _)) = leader(&system.seeds).filter(|(now, _)| *now != marks.leads) {
+            (marks.leads, outcome.leaders) = (now, outcome.leaders + 1);
         }
         std::thread::sleep(PAUSE);
     }
     counts(&mut round);
     (outcome.changing_s, outcome.changing) = (change_start.elapsed().as_secs_f64(), threads.sums(round)?);
-    let change_to = system.cpu_s();
     let of = back.len();
     outcome.back_s = spread(back, of);
     // A zone returns.
@@ -641,12 +712,17 @@
     if watched.wait(&threads.notes, &zone, CHANGE_MOST, said) {
         outcome.zone_back_s = spread(watched.force.iter().flatten().copied().collect(), zone.len())[2];
     }
-    let cores = system.cores.len();
-    let rest = (&rest_from[..], &rest_to[..], rest_s);
-    let change = (&change_from[..], &change_to[..], outcome.changes.len());
+    Ok(())
+}
+
+/// What the processes used up to now; also of a run that failed, as far as it went.
+fn figures(system: &System, marks: &Marks, outcome: &mut Outcome) {
+    let (cores, now) = (system.cores.len(), system.cpu_s());
+    let rest = (&marks.rest.0[..], &marks.rest.1[..], outcome.rest_s);
+    let change = (&marks.change[..], &now[..], outcome.changes.len());
     let process = |at: usize| system.process(at, rest, change);
-    let others = (0..cores).filter(|at| *at != leads).map(process);
+    let others = (0..cores).filter(|at| *at != marks.leads).map(process);
     outcome.follower = others.max_by(|a, b| a.peak_mb.total_cmp(&b.peak_mb)).unwrap_or_default();
-    (outcome.leader, outcome.agent, outcome.proxy) = (process(leads), process(cores), process(cores + 1));
-    Ok(())
+    (outcome.leader, outcome.agent, outcome.proxy) =
+        (process(marks.leads), process(cores), process(cores + 1));
 }
