--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -109,7 +109,7 @@
         /// What `slopes --json` wrote: its forecast stands beside each run.
         #[arg(long, value_name = "FILE")]
         slopes: Option<PathBuf>,
-        /// A folder for `runs.jsonl`, to which a line is added for each run, and for the plots of these runs.
+        /// A folder for `runs.jsonl`, to which a line is added for each run, and for the plots of all that stand in it.
         #[arg(long, value_name = "DIR")]
         out: Option<PathBuf>,
     },
@@ -254,7 +254,7 @@
         }
         None => Vec::new(),
     };
-    let mut runs = Vec::new();
+    let mut played = true;
     for (percent, size) in sizes {
         let said = |what: &str| eprintln!("{} x {percent}: {what}", size.gateways);
         let outcome = run::play(options, *size, *percent, &said)?;
@@ -268,12 +268,9 @@
             writeln!(append(&folder.join("runs.jsonl"))?, "{line}")
                 .map_err(|e| format!("the results: {e}"))?;
         }
-        runs.push(outcome);
+        played &= outcome.failed.is_none();
     }
-    if let Some(folder) = out {
-        scale::report::plots(&runs, folder)?;
-    }
-    Ok(runs.iter().all(|run| run.failed.is_none()))
+    Ok(played)
 }
 
 /// A request that a person can send while the demo runs.
--- a/lab/src/scale/report.rs
+++ b/lab/src/scale/report.rs
@@ -3,6 +3,7 @@
 use super::run::{Outcome, Process};
 use super::weigh::short;
 use plotters::prelude::*;
+use serde_json::Value;
 use std::path::Path;
 
 fn all(values: &[f64]) -> String {
@@ -102,34 +103,62 @@
 const COLOURS: [RGBColor; 4] =
     [RGBColor(31, 119, 180), RGBColor(214, 110, 20), RGBColor(44, 140, 60), RGBColor(150, 50, 160)];
 
-/// What a plot shows of a run.
-type Of = fn(&Outcome) -> f64;
+/// What the plots show of a run: its part of the table in 100, its gateways, and a value for each plot.
+struct Shown {
+    percent: f64,
+    gateways: f64,
+    values: [f64; 4],
+}
+
+/// Reads a line of `runs.jsonl`; none where a run was not played to its end. What JSON calls null is never.
+fn shown(line: &Value) -> Option<Shown> {
+    let number = |value: &Value| value.as_f64().unwrap_or(f64::INFINITY);
+    if !line["failed"].is_null() {
+        return None;
+    }
+    let (gateways, changes) = (line["size"]["gateways"].as_f64()?, line["changes"].as_array()?);
+    let mut force: Vec<f64> = changes.iter().map(|change| number(&change["force_s"][2])).collect();
+    force.sort_by(f64::total_cmp);
+    let told = &line["changing"];
+    let bytes = number(&told["whole"]["bytes"]) + number(&told["changes"]["bytes"]);
+    let leader = &line["leader"];
+    let values = [
+        force.get(force.len() / 2).copied()?,
+        bytes / 1e6 / gateways / changes.len() as f64,
+        number(&leader["change_cpu_s"]),
+        number(&leader["peak_mb"]),
+    ];
+    Some(Shown { percent: line["percent"].as_f64()?, gateways, values })
+}
 
-/// The plots of all runs, one file each: `force.svg`, `bytes.svg`, `leader-cores.svg`, `leader-memory.svg`.
-pub fn plots(runs: &[Outcome], folder: &Path) -> Result<(), String> {
-    std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let kinds: [(&str, &str, Of, f64); 4] = [
-        ("force", "s from Put until in force at 100 in 100 of gateways", |run| run.force_s()[2], 7.0),
-        ("bytes", "MB for a gateway at a change", |run| run.change_bytes() / 1e6, 0.0),
-        ("leader-cores", "s of the leader's processor for a change", |run| run.leader.change_cpu_s, 0.0),
-        ("leader-memory", "MB of the leader at its peak", |run| run.leader.peak_mb, 256.0),
+/// The plots of all runs of a folder's `runs.jsonl`: `force.svg`, `bytes.svg`, `leader-cores.svg`, `leader-memory.svg`.
+pub fn plots(folder: &Path) -> Result<(), String> {
+    let file = folder.join("runs.jsonl");
+    let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
+    let text = std::fs::read_to_string(&file).map_err(|e| wrong(&e))?;
+    let lines: Result<Vec<Value>, _> = text.lines().map(serde_json::from_str).collect();
+    let runs: Vec<_> = lines.map_err(|e| wrong(&e))?.iter().filter_map(shown).collect();
+    let kinds = [
+        ("force", "s from Put until in force at 100 in 100 of gateways", 7.0),
+        ("bytes", "MB for a gateway at a change", 0.0),
+        ("leader-cores", "s of the leader's processor for a change", 0.0),
+        ("leader-memory", "MB of the leader at its peak", 256.0),
     ];
-    for (name, what, of, bound) in kinds {
+    for (at, (name, what, bound)) in kinds.into_iter().enumerate() {
         let file = folder.join(format!("{name}.svg"));
-        plot(runs, &file, what, of, bound).map_err(|e| format!("{}: {e}", file.display()))?;
+        plot(&runs, &file, what, at, bound).map_err(|e| format!("{}: {e}", file.display()))?;
     }
     Ok(())
 }
 
 /// One plot: against gateways, a line for each part of the table; both scales are logarithms. A bound above nought is drawn.
 fn plot(
-    runs: &[Outcome], file: &Path, what: &str, of: Of, bound: f64,
+    runs: &[Shown], file: &Path, what: &str, at: usize, bound: f64,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let points = |percent: f64| -> Vec<(f64, f64)> {
-        let runs = runs.iter().filter(|run| run.percent == percent && run.failed.is_none());
-        runs.map(|run| (run.size.gateways as f64, of(run)))
-            .filter(|(_, y)| y.is_finite() && *y > 0.0)
-            .collect()
+        let runs = runs.iter().filter(|run| run.percent == percent);
+        let points = runs.map(|run| (run.gateways, run.values[at]));
+        points.filter(|(_, y)| y.is_finite() && *y > 0.0).collect()
     };
     let mut percents: Vec<f64> = runs.iter().map(|run| run.percent).collect();
     percents.sort_by(f64::total_cmp);
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -128,3 +128,22 @@
     // Whoever is missing counts as never.
     assert_eq!(spread(vec![1.0, 2.0, 3.0], 4), [2.0, f64::INFINITY, f64::INFINITY]);
 }
+
+#[test]
+fn lines_of_runs_become_plots_and_those_that_failed_are_left_out() {
+    let folder = tempfile::tempdir().unwrap();
+    let line = |gateways: usize, force: &str, failed: &str| {
+        format!(
+            r#"{{"size":{{"gateways":{gateways}}},"percent":1.0,"failed":{failed},"changes":[{{"force_s":[0.1,0.2,{force}]}}],"changing":{{"whole":{{"bytes":0}},"changes":{{"bytes":9000}}}},"leader":{{"change_cpu_s":0.5,"peak_mb":20.0}}}}"#
+        )
+    };
+    let lines = [line(30, "0.3", "null"), line(100, "null", "null"), line(300, "0.9", "\"no\"")].join("\n");
+    std::fs::write(folder.path().join("runs.jsonl"), lines).unwrap();
+    granite_lab::scale::report::plots(folder.path()).unwrap();
+    let circles =
+        |name: &str| std::fs::read_to_string(folder.path().join(name)).unwrap().matches("<circle").count();
+    // A change that never came to all has no place on a plot of times, but one on the others.
+    assert_eq!([circles("force.svg"), circles("bytes.svg"), circles("leader-memory.svg")], [1, 2, 2]);
+    std::fs::write(folder.path().join("runs.jsonl"), "no line").unwrap();
+    assert!(granite_lab::scale::report::plots(folder.path()).is_err());
+}
--- a/overland/tests/hollow.rs
+++ b/overland/tests/hollow.rs
@@ -70,7 +70,9 @@
 }
 
 /// What the core says, and the word that shows that it was taken in.
-fn history(drawn: &Drawn) -> Vec<(ToAgent, fn(&FromAgent) -> bool)> {
+type Step = (ToAgent, fn(&FromAgent) -> bool);
+
+fn history(drawn: &Drawn) -> Vec<Step> {
     let configured = |edition| {
         let text =
             Envelope::read(drawn.put(edition).as_bytes()).and_then(Envelope::whole).expect("it is valid").1;
@@ -102,7 +104,7 @@
 }
 
 /// The words of the real agent and proxy. What comes again in a row counts once.
-fn real(settings: &str, inner: u16, history: &[(ToAgent, fn(&FromAgent) -> bool)]) -> Vec<FromAgent> {
+fn real(settings: &str, inner: u16, history: &[Step]) -> Vec<FromAgent> {
     let listener = TcpListener::bind((CORE, inner)).expect("the core's port");
     let folder = tempfile::tempdir().expect("a folder");
     let file = folder.path().join("gateway.yaml");
@@ -142,9 +144,7 @@
 }
 
 /// The same of a hollow one.
-fn hollow(
-    settings: &str, core: &str, holds: Holds, history: &[(ToAgent, fn(&FromAgent) -> bool)],
-) -> Vec<FromAgent> {
+fn hollow(settings: &str, core: &str, holds: Holds, history: &[Step]) -> Vec<FromAgent> {
     let settings = Settings::read(settings).expect("they are sound");
     let (mut now, mut out) = (0.0, Vec::new());
     let mut hollow = Hollow::new(&settings, holds, now, &mut out);
