--- a/overland/tests/control.rs
+++ b/overland/tests/control.rs
@@ -7,7 +7,7 @@
 use overland::agreement::{Append, Install, Letter, Say};
 use overland::news::{Mend, Whole, Word};
 use simulated::troubles::{Trouble, ALL};
-use simulated::{Input, World};
+use simulated::{Input, Place, World};
 
 /// Failing histories of which the shortest is told.
 const FINDS: usize = 5;
@@ -118,3 +118,28 @@
         world.settle(12_000.0);
     });
 }
+
+/// From the moment at which a leader is cut off from its peers alone until another takes the first order, in ms: operators
+/// call any member, the cut one too.
+#[test]
+fn another_takes_orders_soon_after_a_cut() {
+    let mut times = Vec::new();
+    let number = std::env::var("HISTORIES").ok().and_then(|text| text.parse::<u64>().ok());
+    for seed in 0..number.map_or(8, |number| number.min(40)) {
+        let mut world = World::new(seed, members(seed), 0, 4, 4, 6);
+        world.callers.pause_ms = 100.0;
+        world.begin();
+        world.pass(8_000.0);
+        let (leader, cut) = (world.leader().expect("a leader"), world.now);
+        let peers = (0..world.cores.len()).map(Place::Core).collect::<Vec<_>>();
+        world.cut_off(Place::Core(leader), peers);
+        world.pass(cut + 10_000.0);
+        // What the others took before they lost it stands aside.
+        let taken = world.taken.iter().find(|(at, by)| *at > cut + 500.0 && *by != leader);
+        times.push(taken.expect("orders are taken").0 - cut);
+    }
+    times.sort_by(f64::total_cmp);
+    let (median, worst) = (times[times.len() / 2], times[times.len() - 1]);
+    println!("from a cut to the first order taken elsewhere: median {median:.0} ms, worst {worst:.0} ms");
+    assert!(worst < 4_000.0, "{worst:.0} ms");
+}
