The lab: a signal ends the processes of a scale run

Symptom: a run ended by SIGTERM left its core processes to themselves; the lab's own end did not reach them. They are noted and killed at Ctrl-C and SIGTERM. Ruled out: ends by drop, which a signal passes over. Tried by hand at 4 gateways: ends with 2, nothing left; there is no test of it yet. The run's folder stays.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -180,7 +180,9 @@
             };
             let sizes =
                 percent.iter().flat_map(|percent| gateways.iter().map(|of| (*percent, size(*of, *percent))));
-            scale(&options, &sizes.collect::<Vec<_>>(), slopes.as_deref(), out.as_deref())
+            let sizes: Vec<_> = sizes.collect();
+            end_with_signals()?;
+            scale(&options, &sizes, slopes.as_deref(), out.as_deref())
         }
         Verb::Check { plans } => {
             for name in plans {
@@ -237,6 +239,19 @@
     }
 }
 
+/// Ctrl-C and SIGTERM end the processes of a run, and this one. The folder of the run stays.
+fn end_with_signals() -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("signals: {e}"))?;
+    std::thread::spawn(move || {
+        runtime.block_on(stopped());
+        run::kill();
+        eprintln!("granite-lab: stopped");
+        std::process::exit(2);
+    });
+    Ok(())
+}
+
 /// Plays all sizes, each in turn. True if all were played to their end.
 fn scale(
     options: &run::Options, sizes: &[(f64, Size)], slopes: Option<&Path>, out: Option<&Path>,
--- a/lab/src/scale/run.rs
+++ b/lab/src/scale/run.rs
@@ -14,7 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
@@ -213,6 +213,23 @@
 
 // ---- Processes --------------------------------------------------------------------------------------------------
 
+/// Processes that run: whoever ends this program by a signal ends them first.
+static RUNNING: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+
+fn running() -> MutexGuard<'static, Vec<i32>> {
+    RUNNING.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Kills all processes of the run. What is started later is not touched: this program is to end.
+pub fn kill() {
+    for id in running().drain(..) {
+        if let Some(id) = rustix::process::Pid::from_raw(id) {
+            // One that has ended is what is wanted.
+            let _ = rustix::process::kill_process(id, rustix::process::Signal::KILL);
+        }
+    }
+}
+
 /// A process that ends with the run, however that ends.
 struct Running(Child);
 
@@ -223,7 +240,10 @@
         let mut command = Command::new(program);
         command.arg("run").arg("--settings").arg(settings).args(["--log", "warn"]);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        command.spawn().map(Running).map_err(told)
+        let mut running = running();
+        let child = command.spawn().map_err(told)?;
+        running.push(child.id() as i32);
+        Ok(Running(child))
     }
 
     fn id(&self) -> i32 {
@@ -250,6 +270,8 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
+        let id = self.id();
+        running().retain(|of| *of != id);
         let _ = self.0.kill();
         let _ = self.0.wait();
     }
