--- a/overland/tests/plane/mod.rs
+++ b/overland/tests/plane/mod.rs
@@ -189,7 +189,7 @@
         gateways: vec![gateway],
         ..Whole::default()
     };
-    ToProxy { whole: Some(whole), age_ms: 0.0, index, ..ToProxy::default() }
+    ToProxy { whole: Some(whole), age_ms: 0.0, at: Some(0.0), index, ..ToProxy::default() }
 }
 
 /// Plays one history. What broke, if anything did, and how many events, answers and successes it had.
