Join the hollow gateways with the words of the joined parts

Cause: the lab's hollow proxy and the test of it were written beside the parts that gave words their age, orders what they build on, and changes of backends their mark. No assertion is changed.

--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -164,6 +164,7 @@
             ready: self.serves() && self.in_touch(now),
             held: self.held(),
             ranges: self.state.as_ref().filter(|_| differs).map(State::ranges),
+            at: Some(now),
         }
     }
 
--- a/overland/tests/hollow.rs
+++ b/overland/tests/hollow.rs
@@ -64,8 +64,10 @@
 }
 
 fn changes(from: u64, kinds: Vec<Kind>) -> ToAgent {
-    let numbered =
-        |(at, kind)| Numbered { index: from + at as u64, change: Some(Change { kind: Some(kind) }) };
+    let numbered = |(at, kind)| Numbered {
+        index: from + at as u64,
+        change: Some(Change { kind: Some(kind), ..Change::default() }),
+    };
     ToAgent { changes: kinds.into_iter().enumerate().map(numbered).collect(), ..ToAgent::default() }
 }
 
@@ -76,7 +78,7 @@
     let configured = |edition| {
         let text =
             Envelope::read(drawn.put(edition).as_bytes()).and_then(Envelope::whole).expect("it is valid").1;
-        Configured { edition, text, call: edition }
+        Configured { edition, text, call: edition, ..Configured::default() }
     };
     let backend = Backend {
         id: "i-1".into(),
