Take back the data plane's new tries and all that was joined after them: the standing test serves nothing with them

The rest of the answers' new checks was ruled out by a build without four of them (still nothing served); the cause is not found. What is in service goes first.

--- a/overland/src/member/orders.rs
+++ b/overland/src/member/orders.rs
@@ -211,19 +211,6 @@
         }
     }
 
-    /// Tells what applying an order's entry gave, where this process leads.
-    pub(super) fn log_order(&self, config: &Configured, taken: bool) {
-        if !self.leads() {
-            return;
-        }
-        let (edition, current) = (config.edition, self.state.edition());
-        if taken {
-            log::info!("core: r{edition} is agreed on");
-        } else {
-            log::info!("core: r{edition} is refused: r{current} is in place");
-        }
-    }
-
     /// An order's entry is applied: its caller goes on by what that gave.
     pub(super) fn decided(&mut self, now: Millis, caller: &Caller, mark: &Mark, out: &mut Vec<Action>) {
         match self.state.fit(mark) {
--- a/src/bin/heronstage/speech.rs
+++ b/src/bin/heronstage/speech.rs
@@ -69,9 +69,4 @@
     fn passes_failures(&self) -> bool {
         false
     }
-
-    fn begins_early(&self) -> bool {
-        // Its servers wait for the whole body.
-        false
-    }
 }
--- a/src/plane/mod.rs
+++ b/src/plane/mod.rs
@@ -5,7 +5,6 @@
 pub mod backends;
 pub mod deadline;
 pub mod driver;
-pub mod exchange;
 pub mod http;
 pub mod idle;
 pub mod room;
