Name no page that was taken back

Cause: two module comments pointed to pages on control and orders that stand in the history alone. Found by reading the change again. Comments only; no program changed.

--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -2,8 +2,8 @@
 //! time, what is to be done goes out as [`Action`]s, to be carried out in order. `control.rs` keeps sockets and time.
 //!
 //! Rooms by concern: `orders` the operators' calls, `presence` backends and gateways, `push` what agents are told,
-//! `count` the tenants' counts, `joining` other core processes. What is promised with each answer, and what backs it,
-//! stands in `docs/system/control.md`.
+//! `count` the tenants' counts, `joining` other core processes. `docs/system/design.md` tells what each does when
+//! another is silent.
 
 mod count;
 mod joining;
--- a/overland/src/member/orders.rs
+++ b/overland/src/member/orders.rs
@@ -5,7 +5,6 @@
 //! room. It is *proposed* as an entry; the same order again joins it there. It is *agreed on*: applying the entry takes or
 //! refuses it, alike at every member, and the agreed state keeps which. It is *in force* once no gateway goes by anything
 //! older. It is *answered*. A caller may be let go in each of them, without a clear answer; the same order again finds out.
-//! `docs/system/orders.md` tells what holds and why.
 
 use super::{Action, Caller, Granted, Member, Next, Stage, Wait};
 use crate::calls::{Answers, Done, Evacuate, Get, Order, Outcome, Patch, Put, Refusal, TakeBack};
