Refuse TCP_NODELAY on the stand-in connections of the data plane's histories

Change: the stand-in refuses the option always, so that no drawn history passes where a connection is dropped for it.

--- a/overland/tests/plane/wire.rs
+++ b/overland/tests/plane/wire.rs
@@ -156,4 +156,9 @@
         let from = self.0.from.borrow();
         from.bytes.is_empty() && !from.ended && !from.reset
     }
+
+    /// Refused: a connection without it is a connection all the same.
+    fn prompt(&self) -> io::Result<()> {
+        Err(io::Error::from(io::ErrorKind::Unsupported))
+    }
 }
