Have every member remember who asks to join, so that a new leader lets nobody go as if no one listened

Symptom: a_loss_as_a_member_leaves_in_order_is_borne, input: one of three leaves in order with a listener there, another is lost at that moment, and nothing is agreed on any more. Cause: who listens was known to the leader alone. One that had led for a second and had heard no asking took the listener for none and let the leaving member end as one that stays in the list. Ruled out: a longer wait of a new leader (every leaver would pay it, and a lost letter would beat it again).

--- a/overland/src/agreement/members.rs
+++ b/overland/src/agreement/members.rs
@@ -10,6 +10,7 @@
 use super::role::{Lead, Progress, Role};
 use super::{Action, Agreement, Entry, Name, BATCH};
 use cherrytally::Millis;
+use std::collections::BTreeMap;
 
 /// A member that said nothing for so long, in ms, gives its place to a listener that has the log, where there is one. It
 /// is over the longest time after which a leader is missed; one that was only slow listens from then on, and neither has
@@ -179,17 +180,32 @@
         self.members().contains(&self.me)
     }
 
-    /// A process wants to be a member: it listens first.
+    /// A process wants to be a member: it listens first. Who follows remembers it, so that it knows as a leader, from the
+    /// first moment on, that a place can be handed over.
     pub(super) fn join(&mut self, now: Millis, name: Name) {
+        self.asking.retain(|_, asked| now - *asked <= SUSPECT_MS);
         let first = self.last() + 1;
-        let known = self.members().contains(&name);
+        if self.members().contains(&name) {
+            return;
+        }
+        if self.asking.len() < LISTENERS_MOST || self.asking.contains_key(&name) {
+            self.asking.insert(name.clone(), now);
+        }
         if let Role::Leader(lead) = &mut self.role {
-            if !known && lead.joining.len() < LISTENERS_MOST {
+            if lead.joining.len() < LISTENERS_MOST {
                 lead.joining.entry(name).or_insert_with(|| Progress::new(first, now));
             }
         }
     }
 
+    /// Those that asked lately, as one that begins to lead knows them.
+    pub(super) fn listening(&self, now: Millis) -> BTreeMap<Name, Progress> {
+        let first = self.last() + 1;
+        let lately = |(_, asked): &(&Name, &Millis)| now - **asked <= SUSPECT_MS;
+        let outside = self.asking.iter().filter(lately).filter(|(name, _)| !self.members().contains(name));
+        outside.map(|(name, asked)| (name.clone(), Progress::new(first, *asked))).collect()
+    }
+
     /// The process is told to end: it asks to be let go with each answer, and hands over first if it leads.
     pub(super) fn leave(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.leaving = true;
--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -178,6 +178,8 @@
     /// Before that it votes for nobody.
     forgotten_until: Millis,
     membership: Membership,
+    /// Who asked to be a member, and when.
+    asking: BTreeMap<Name, Millis>,
     /// The process is told to end.
     leaving: bool,
     /// A leader said that it may.
@@ -219,6 +221,7 @@
             election: now + START_MS * (1.0 + rng.f64()),
             forgotten_until: if empty { now + FORGOTTEN_MS } else { now },
             membership: Membership::default(),
+            asking: BTreeMap::new(),
             leaving: false,
             released: false,
             rng,
@@ -429,11 +432,9 @@
             // Who led before has been silent for a while already. It has a moment to answer.
             last.heard = self.heard.max(now - members::SUSPECT_MS + members::PRESENT_MS);
         }
-        self.become_role(
-            now,
-            Role::Leader(Lead { first, since: now, peers, joining: BTreeMap::new(), resigned: None }),
-            actions,
-        );
+        let joining = self.listening(now);
+        let lead = Lead { first, since: now, peers, joining, resigned: None };
+        self.become_role(now, Role::Leader(lead), actions);
         // What earlier terms left is agreed on with the first entry of one's own.
         self.append(now, Entry::empty(self.vow.term, first), actions);
     }
--- a/overland/src/member/joining.rs
+++ b/overland/src/member/joining.rs
@@ -69,11 +69,12 @@
                     self.unread = false;
                 }
             }
-            Word::Join(_) => match self.agreement.leader().cloned() {
-                Some(leader) if leader == self.me => self.next.push_back(Next::Event(Event::Join(from))),
-                Some(leader) => out.push(Action::Pass { to: leader, from }),
-                None => {}
-            },
+            Word::Join(_) => {
+                if let Some(leader) = self.agreement.leader().filter(|leader| **leader != self.me).cloned() {
+                    out.push(Action::Pass { to: leader, from: from.clone() });
+                }
+                self.next.push_back(Next::Event(Event::Join(from)));
+            }
         }
     }
 
