Take no proposal once a successor is named: an entry more left it behind, and the lead came back

Cause: a leader that had named its successor went on appending proposals. The successor's log then lacked the last entry, nobody voted for it, and the one with the longest log, the one that leaves, led again. Ruled out: votes lost by drawn loss alone (each refusal in the trace is of a log that is behind). Change: Agreement::takes: a leader that resigned proposes nothing; callers are told to come back.

--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -270,6 +270,12 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// Whether it leads and takes proposals. One that named a successor takes none: an entry more would leave that one
+    /// behind, nobody would vote for it, and the lead would come back to who wants to be rid of it.
+    pub fn takes(&self) -> bool {
+        matches!(&self.role, Role::Leader(lead) if lead.resigned.is_none())
+    }
+
     /// Whether it leads, and no other can have led before now: it may answer for all.
     pub fn vouches(&self, now: Millis) -> bool {
         let Role::Leader(lead) = &self.role else { return false };
@@ -293,7 +299,7 @@
             Event::Tick => self.tick(now, actions),
             Event::Heard { from, say } => self.hear(now, from, say, actions),
             Event::Propose(data) => {
-                if self.leads() {
+                if self.takes() {
                     self.append(now, Entry::data(self.vow.term, self.last() + 1, data), actions);
                 }
             }
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -490,7 +490,7 @@
     fn propose(
         &mut self, kind: Kind, caller: Option<Caller>, out: &mut Vec<Action>,
     ) -> Option<agreement::Event> {
-        if !self.agreement.leads() {
+        if !self.agreement.takes() {
             if let Some(caller) = caller {
                 self.refuse(&caller, &Refusal::Later, out);
             }
--- a/overland/tests/agreement.rs
+++ b/overland/tests/agreement.rs
@@ -41,6 +41,15 @@
     });
 }
 
+/// In the first a new leader had not heard of who listens, and let a member go as if nobody could take its place; in the
+/// second the one that leaves named successors that were behind by its next entry, and led again and again.
+#[test]
+fn a_member_that_leaves_is_let_go_by_who_knows_the_listeners_and_led_by_its_successor() {
+    for seed in [11419780910521544562, 15619066326448402488] {
+        left(&mut World::new(seed, 3, 1, None));
+    }
+}
+
 #[test]
 fn a_loss_as_a_member_leaves_in_order_is_borne() {
     bolero::check!()
