Hear the leader that one follows, though an old list of members lacks it

Cause: the state that a wiped member is sent first names the members of long ago. Where the leader is none of them, the member counts itself in, follows that leader, and so drops all its words as those of no member, but for one each time it has lost sight of it. Ruled out: slow sending of states (the leader sent entries every 100 ms); votes. Change: Agreement::hears takes the followed leader's word. A test of that moment, seen failing before.

--- a/overland/src/agreement/members.rs
+++ b/overland/src/agreement/members.rs
@@ -100,11 +100,12 @@
         self.membership.next.is_some()
     }
 
-    /// Whether a letter of this one may count: of a member, of one that is sent the log, and of any where it is no member
-    /// itself or follows nobody. The members may have changed then without its knowledge.
+    /// Whether a letter of this one may count: of a member, of one that is sent the log, of the leader that it follows, and
+    /// of any where it is no member itself or follows nobody. The members may have changed then without its knowledge; who
+    /// leads need not be in the list that it has, which may be years old.
     pub fn hears(&self, name: &Name) -> bool {
         let joining = matches!(&self.role, Role::Leader(lead) if lead.joining.contains_key(name));
-        self.apart() || joining || self.members().contains(name)
+        self.apart() || joining || self.leader() == Some(name) || self.members().contains(name)
     }
 
     /// How many processes are sent the log and want to be members.
--- a/overland/tests/agreement.rs
+++ b/overland/tests/agreement.rs
@@ -110,7 +110,7 @@
         commit: 3,
         counts,
         at,
-        released: false,
+        ..Append::default()
     };
     let hear = |follower: &mut Agreement, say| {
         let mut actions = Vec::new();
@@ -133,6 +133,20 @@
     assert!(actions.iter().any(|action| matches!(action, Action::Restore { index: 9, .. })));
 }
 
+/// A wiped member is sent a state of long ago first: that state's list does not have the leader that sends it.
+#[test]
+fn a_leader_that_an_old_list_lacks_goes_on_being_heard() {
+    let mut wiped = Agreement::new("core1".into(), Default::default(), 7, 0.0);
+    let members = (0..3).map(|number| format!("core{number}")).collect();
+    let install = Install { term: 3, index: 1, last_term: 1, members, state: vec![1], ..Install::default() };
+    let event = Event::Heard { from: "core5".into(), say: Say::Install(install) };
+    wiped.handle(10.0, event, &mut Vec::new());
+    assert_eq!(wiped.leader(), Some(&"core5".to_owned()));
+    assert!(wiped.members().contains(&"core1".to_owned()));
+    assert!(wiped.hears(&"core5".to_owned()), "it would never get the entries behind that state");
+    assert!(!wiped.hears(&"core6".to_owned()));
+}
+
 #[test]
 fn a_follower_with_entries_of_an_older_term_says_what_is_agreed_on() {
     // Ten entries of term 1, of which three are agreed on.
@@ -140,7 +154,7 @@
     let mut follower = Agreement::new("core1".into(), saved, 7, 0.0);
     let hear = |follower: &mut Agreement, term, prev, prev_term, entries: Vec<Entry>, commit| {
         let append =
-            Append { term, prev, prev_term, entries, commit, counts: true, at: 5.0, released: false };
+            Append { term, prev, prev_term, entries, commit, counts: true, at: 5.0, ..Append::default() };
         let mut actions = Vec::new();
         let event = Event::Heard { from: format!("core{term}"), say: Say::Append(append) };
         follower.handle(10.0, event, &mut actions);
