Let go of calls that a leader does not hear, and have a leader that no agent reaches hand over

A member that hears its leader and is not heard kept each call for 850 ms, a refused second of its caller; a leader cut off from all agents and not from its peers led on, with gateways that nobody told anything. Change: the leader tells with each letter how long ago it heard whom it writes to (unheard_ms); from 500 ms on calls are let go at the next tick. Members tell with each answer how many agents they hear (reach); a leader that hears less than half of what another able member hears, for four rounds of half a second, names that one, at most once in 10 s as with slow disks. Both fields are nought from earlier programs, and then change nothing. Ruled out: agents choosing the leader (they hear only who leads); a rule by regions (no name of a place decides who leads).

--- a/overland/src/agreement/letter.rs
+++ b/overland/src/agreement/letter.rs
@@ -146,6 +146,9 @@
     /// Who hears this and is told to end may: nobody needs it any more.
     #[prost(bool, tag = "8")]
     pub released: bool,
+    /// How long ago the leader last heard who is sent this, in ms. Earlier programs tell nought.
+    #[prost(double, tag = "9")]
+    pub unheard_ms: f64,
 }
 
 /// The answer to entries or a state.
@@ -169,6 +172,9 @@
     /// It is told to end, and asks whether it is needed.
     #[prost(bool, tag = "6")]
     pub leaving: bool,
+    /// How many gateways' agents it hears. Earlier programs tell nought.
+    #[prost(uint32, tag = "7")]
+    pub reach: u32,
 }
 
 /// A state.
--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -75,8 +75,10 @@
     Join(Name),
     /// The process is told to end: see [`Agreement::left`].
     Leave,
-    /// Somebody else should lead: the process ends, or its disk is slow.
+    /// Somebody else should lead: the process ends, its disk is slow, or agents don't reach it.
     Resign,
+    /// This process hears so many agents.
+    Reach(u32),
 }
 
 /// What is to be done, in order.
@@ -178,6 +180,10 @@
     /// Before that it votes for nobody.
     forgotten_until: Millis,
     membership: Membership,
+    /// How long ago the leader had heard this member when it said what was last heard of it, in ms.
+    unheard: Millis,
+    /// How many agents this process hears.
+    reach: u32,
     /// Who asked to be a member, and when.
     asking: BTreeMap<Name, Millis>,
     /// The process is told to end.
@@ -221,6 +227,8 @@
             election: now + START_MS * (1.0 + rng.f64()),
             forgotten_until: if empty { now + FORGOTTEN_MS } else { now },
             membership: Membership::default(),
+            unheard: 0.0,
+            reach: 0,
             asking: BTreeMap::new(),
             leaving: false,
             released: false,
@@ -260,6 +268,12 @@
         self.said
     }
 
+    /// How long ago the leader last heard this member, in ms, as far as its last word tells: what is passed to a leader that
+    /// does not hear is lost.
+    pub fn unheard(&self, now: Millis) -> Millis {
+        self.unheard + (now - self.heard).max(0.0)
+    }
+
     /// When a leader was last heard of.
     pub fn heard(&self) -> Millis {
         self.heard
@@ -306,6 +320,7 @@
             Event::Join(name) => self.join(now, name),
             Event::Leave => self.leave(now, actions),
             Event::Resign => self.resign(now, actions),
+            Event::Reach(agents) => self.reach = agents,
         }
     }
 
@@ -445,13 +460,21 @@
         self.append(now, Entry::empty(self.vow.term, first), actions);
     }
 
+    /// Whether this leader hears less than half of the agents that one hears who could lead in its place: a leader that the
+    /// agents don't reach tells them nothing and counts for nobody, and holds its lead by its peers all the same.
+    pub fn ill_placed(&self, now: Millis) -> bool {
+        let (last, Role::Leader(lead)) = (self.last(), &self.role) else { return false };
+        let able = lead.peers.values().filter(|p| p.able(last, now));
+        able.map(|p| p.reach).max().is_some_and(|most| most > 2 * self.reach)
+    }
+
     fn resign(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let last = self.last();
         let Role::Leader(lead) = &mut self.role else { return };
-        // Who is told to end, too, would hand over again.
-        let able = |p: &Progress| p.counts && !p.leaving && p.matched == last && now - p.heard < LEASE_MS;
-        let best = lead.peers.iter().filter(|(_, p)| able(p));
-        let best = best.max_by(|a, b| a.1.heard.total_cmp(&b.1.heard)).map(|(name, _)| name.clone());
+        let best = lead.peers.iter().filter(|(_, p)| p.able(last, now));
+        // The one that most agents reach, and of those the one that was heard last.
+        let best = best.max_by(|(_, a), (_, b)| a.reach.cmp(&b.reach).then(a.heard.total_cmp(&b.heard)));
+        let best = best.map(|(name, _)| name.clone());
         // Where none is up to date a majority finds the next.
         if let Some(to) = best {
             lead.resigned = Some(now);
@@ -521,13 +544,14 @@
             counts: self.vow.counts,
             at: append.at,
             leaving: self.leaving,
+            reach: self.reach,
         };
         if append.term < self.vow.term {
             actions.push(Action::Send { to: from, say: Say::Appended(answer) });
             return;
         }
         self.follow(now, append.term, Some(from.clone()), actions);
-        self.said = append.at;
+        (self.said, self.unheard) = (append.at, append.unheard_ms);
         answer.term = self.vow.term;
         self.released |= self.leaving && append.released;
         let (mut prev, mut entries) = (append.prev, append.entries);
@@ -583,6 +607,7 @@
         if !progress.answered(now, answer.at, answer.counts, Some(answer.leaving)) {
             return;
         }
+        progress.reach = answer.reach;
         if answer.ok {
             progress.matched = progress.matched.max(answer.matched);
             progress.next = progress.next.max(answer.matched + 1);
@@ -666,10 +691,10 @@
             progress.out_since.get_or_insert(now);
             progress.flight += entries.iter().map(|entry| entry.data.len() + ENTRY_BYTES).sum::<usize>();
         }
-        let counts = progress.welcome;
+        let (counts, unheard_ms) = (progress.welcome, now - progress.heard);
         progress.released |= released;
         let prev_term = self.term_at(prev).unwrap_or(0);
-        let say = Say::Append(Append { term, prev, prev_term, entries, commit, counts, at: now, released });
-        actions.push(Action::Send { to: to.clone(), say });
+        let append = Append { term, prev, prev_term, entries, commit, counts, at: now, released, unheard_ms };
+        actions.push(Action::Send { to: to.clone(), say: Say::Append(append) });
     }
 }
--- a/overland/src/agreement/role.rs
+++ b/overland/src/agreement/role.rs
@@ -92,6 +92,8 @@
     pub(super) leaving: bool,
     /// It was told that it may: its copies count no more.
     pub(super) released: bool,
+    /// How many agents it hears.
+    pub(super) reach: u32,
 }
 
 impl Progress {
@@ -111,9 +113,16 @@
             emptied: never,
             leaving: false,
             released: false,
+            reach: 0,
         }
     }
 
+    /// It could lead at once: it lacks nothing, and is there.
+    pub(super) fn able(&self, last: u64, now: Millis) -> bool {
+        // Who is told to end, too, would hand over again.
+        self.counts && !self.leaving && self.matched == last && now - self.heard < super::LEASE_MS
+    }
+
     /// It answered what was sent then, and said whether it leaves, or nothing of that. False where that is of no use: it is
     /// of a disk that it has lost since.
     pub(super) fn answered(&mut self, now: Millis, at: Millis, counts: bool, leaving: Option<bool>) -> bool {
--- a/overland/src/agreement/snapshot.rs
+++ b/overland/src/agreement/snapshot.rs
@@ -179,10 +179,10 @@
             if now - progress.sent >= HEARTBEAT_MS {
                 progress.sent = now;
                 let (prev, prev_term) = (sending.base.index, sending.base.term);
-                let (entries, counts, released) = (Vec::new(), false, false);
-                let say =
-                    Say::Append(Append { term, prev, prev_term, entries, commit, counts, at: now, released });
-                actions.push(Action::Send { to: to.clone(), say });
+                let unheard_ms = now - progress.heard;
+                let append =
+                    Append { term, prev, prev_term, commit, at: now, unheard_ms, ..Append::default() };
+                actions.push(Action::Send { to: to.clone(), say: Say::Append(append) });
             }
             return;
         }
@@ -285,9 +285,9 @@
         // All that is agreed on up to the one that it holds is the same everywhere.
         let ok = index <= self.commit;
         let matched = if ok { index } else { self.last() };
-        let say =
-            Say::Appended(Appended { term: self.vow.term, ok, matched, counts, at, leaving: self.leaving });
-        actions.push(Action::Send { to: from, say });
+        let (term, leaving, reach) = (self.vow.term, self.leaving, self.reach);
+        let answer = Appended { term, ok, matched, counts, at, leaving, reach };
+        actions.push(Action::Send { to: from, say: Say::Appended(answer) });
     }
 
     /// Puts a piece to those that came before it, if it is the next.
--- a/overland/src/member/joining.rs
+++ b/overland/src/member/joining.rs
@@ -29,6 +29,9 @@
 const SILENT_MS: Millis = 400.0;
 /// Processes that are sent the log at once, as they want to be members: a system has nine core machines at most.
 const JOINING_MOST: usize = 9;
+/// A leader that had not heard this process for so long, in ms, does not hear what is passed to it either: it is answered
+/// each 100 ms, a way between regions takes up to 100, and one answer may be late.
+const UNHEARD_MS: Millis = 500.0;
 /// When a caller may come back whom the leader refused, in ms.
 const LATER_MS: u64 = 200;
 
@@ -113,9 +116,10 @@
         self.calls.insert(caller, Waiting { granted, until, stage });
     }
 
-    /// Whether it follows this one, and hears it.
+    /// Whether it follows this one, hears it, and is heard by it.
     pub(super) fn hears_leader(&self, now: Millis, leader: &Name) -> bool {
-        self.agreement.leader() == Some(leader) && now - self.agreement.heard() < SILENT_MS
+        let (heard, unheard) = (now - self.agreement.heard(), self.agreement.unheard(now));
+        self.agreement.leader() == Some(leader) && heard < SILENT_MS && unheard < UNHEARD_MS
     }
 
     /// A call that another core process passed on.
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -47,7 +47,10 @@
 /// And after so many bytes of changes, at the same number at all members, too: a configuration of the size that is
 /// designed for has some MiB, and 512 of them would be more than a process may have of memory.
 const LOG_BYTES: usize = 8 << 20;
-/// A leader with a slow disk hands over no more often, in ms: with all disks slow there is nobody better.
+/// Rounds, of half a second, in which a leader must be ill placed before it hands over: agents of a process that has just
+/// begun find it one after the other.
+const ILL_PLACED_ROUNDS: u32 = 4;
+/// A leader hands over no more often, in ms: with all disks slow there is nobody better.
 const HAND_AGAIN_MS: Millis = 10_000.0;
 
 /// What happens at a core process.
@@ -240,8 +243,10 @@
     /// The agents were told that it leads.
     told: bool,
     pace: Pace,
-    /// When it last handed over for its slow disk.
+    /// When it last handed over for its slow disk, or as agents did not reach it.
     handed: Option<Millis>,
+    /// How many rounds it has been ill placed as a leader, one after the other.
+    ill_placed: u32,
     calls: BTreeMap<Caller, Waiting>,
     orders: Orders,
     presence: Presence,
@@ -317,6 +322,7 @@
             told: false,
             pace: Pace::default(),
             handed: None,
+            ill_placed: 0,
             calls: BTreeMap::new(),
             orders: Orders::default(),
             presence: Presence::default(),
@@ -434,6 +440,7 @@
             self.next.push_back(Next::Event(agreement::Event::Resign));
         }
         self.agents.retain(|_, agent| now - agent.heard < presence::GONE_MS);
+        self.mind_reach(now);
         if !self.vouches(now) {
             return;
         }
@@ -448,11 +455,27 @@
     /// A save is done: what waited for it goes on.
     fn saved(&mut self, now: Millis, took_ms: f64) {
         self.saving = false;
+        if self.pace.saved(took_ms) {
+            self.hand_over(now, "the disk is slow");
+        }
+    }
+
+    /// A leader that agents don't reach hands over to a member that they do reach.
+    fn mind_reach(&mut self, now: Millis) {
+        let heard = self.agents.values().filter(|agent| now - agent.heard < presence::HEARD_MS).count();
+        self.next.push_back(Next::Event(agreement::Event::Reach(heard as u32)));
+        self.ill_placed = if self.agreement.ill_placed(now) { self.ill_placed + 1 } else { 0 };
+        if self.ill_placed >= ILL_PLACED_ROUNDS {
+            self.hand_over(now, "agents reach others");
+        }
+    }
+
+    /// Another should lead, where this process does. What is under way goes on first.
+    fn hand_over(&mut self, now: Millis, why: &str) {
         let lately = self.handed.is_some_and(|at| now - at < HAND_AGAIN_MS);
-        if self.pace.saved(took_ms) && self.leads() && !lately {
-            log::warn!("core: the disk is slow; another should lead");
-            self.handed = Some(now);
-            // What this save is for goes on first.
+        if self.leads() && !lately {
+            log::warn!("core: {why}; another should lead");
+            (self.handed, self.ill_placed) = (Some(now), 0);
             self.next.push_back(Next::Event(agreement::Event::Resign));
         }
     }
--- a/overland/tests/control.rs
+++ b/overland/tests/control.rs
@@ -119,6 +119,54 @@
     });
 }
 
+/// A leader that no agent reaches keeps its peers, and hands over to a member that agents reach: gateways go by an old
+/// configuration, and none is counted, for as long as it leads.
+#[test]
+fn a_leader_that_agents_do_not_reach_has_another_lead() {
+    histories(
+        8,
+        |seed| World::new(seed, members(seed), 0, 8, 4, 4),
+        |world| {
+            world.begin();
+            world.pass(8_000.0);
+            let (leader, cut) = (world.leader().expect("a leader"), world.now);
+            let agents = (0..world.gateways.len()).map(Place::Gateway).collect::<Vec<_>>();
+            world.cut_off(Place::Core(leader), agents);
+            while world.leader().is_none_or(|leads| leads == leader) {
+                assert!(world.now < cut + 6_000.0, "core {leader} still leads, and no agent hears of it");
+                world.pass(world.now + 25.0);
+            }
+            world.pass(cut + 12_000.0);
+            assert!(world.leader().is_some_and(|leads| leads != leader), "the lead goes back");
+            world.cuts.clear();
+            world.settle(15_000.0);
+        },
+    );
+}
+
+/// A member that hears its leader, and is not heard by it, keeps no call for the time that passing it on may take.
+#[test]
+fn a_member_that_its_leader_does_not_hear_keeps_no_call() {
+    histories(
+        12,
+        |seed| World::new(seed, members(seed), 0, 4, 4, 2),
+        |world| {
+            world.begin();
+            world.pass(8_000.0);
+            let leader = world.leader().expect("a leader");
+            let deaf = (leader + 1 + world.rng.usize(0..world.cores.len() - 1)) % world.cores.len();
+            world.cuts.insert((Place::Core(deaf), Place::Core(leader)));
+            world.pass(world.now + 1_000.0);
+            assert_eq!(world.leader(), Some(leader));
+            let call = world.call(deaf, "GET", "/api/Config.Get".into(), Vec::new());
+            world.pass(world.now + 400.0);
+            assert!(!world.waits(call), "core {deaf} keeps what nobody hears");
+            world.cuts.clear();
+            world.settle(15_000.0);
+        },
+    );
+}
+
 /// From the moment at which a leader is cut off from its peers alone until another takes the first order, in ms: operators
 /// call any member, the cut one too.
 #[test]
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -964,6 +964,11 @@
         token
     }
 
+    /// Whether a call has no answer yet.
+    pub fn waits(&self, token: u64) -> bool {
+        self.calls.contains_key(&token)
+    }
+
     // ---- Gateways ---------------------------------------------------------------------------------------------
 
     /// A gateway starts: its agent, and its proxy with no copy yet.
