Carry out a call that was passed on once: its double undid an order that was acknowledged meanwhile

Cause: a call passed on inside the core may arrive twice, and who leads carried out both. Between them the opposite order was sent and acknowledged; orders of zones have no number by which the second could be known. Ruled out: the operators' own repeats (each is sent again only until it is clear); a late copy (refused after 700 ms). Change: who leads remembers sender and number of each passed-on call for those 700 ms.

--- a/overland/src/member/joining.rs
+++ b/overland/src/member/joining.rs
@@ -16,7 +16,7 @@
 
 /// A call that was passed on is refused when it may have been on its way for so long, in ms. It is counted from a word of the
 /// leader that comes each 100 ms and takes 55 between regions; callers wait a second before they send it again.
-const ON_ITS_WAY_MS: Millis = 700.0;
+pub(super) const ON_ITS_WAY_MS: Millis = 700.0;
 impl Passed {
     /// To whom.
     pub(super) fn to(&self) -> &Name {
@@ -131,6 +131,11 @@
         if call.term > 0 && late {
             return self.refuse(&caller, &Refusal::Later, out);
         }
+        // A double does nothing: what it wants was done, and its opposite may have been acknowledged since.
+        let Caller::Member(from, number) = &caller else { return };
+        if self.passed.insert((from.clone(), *number), now).is_some() {
+            return;
+        }
         self.called(now, caller, &Called { method, path, body: &call.body }, out);
     }
 
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -248,6 +248,8 @@
     /// How many rounds it has been ill placed as a leader, one after the other.
     ill_placed: u32,
     calls: BTreeMap<Caller, Waiting>,
+    /// Calls that others passed on, by who did and its number for them, and when: none is carried out twice.
+    passed: BTreeMap<(Name, u64), Millis>,
     orders: Orders,
     presence: Presence,
     agents: BTreeMap<u64, Agent>,
@@ -324,6 +326,7 @@
             handed: None,
             ill_placed: 0,
             calls: BTreeMap::new(),
+            passed: BTreeMap::new(),
             orders: Orders::default(),
             presence: Presence::default(),
             agents: BTreeMap::new(),
@@ -441,6 +444,8 @@
         }
         self.agents.retain(|_, agent| now - agent.heard < presence::GONE_MS);
         self.mind_reach(now);
+        // What comes later than that is refused as late.
+        self.passed.retain(|_, heard| now - *heard < joining::ON_ITS_WAY_MS);
         if !self.vouches(now) {
             return;
         }
