Follow no leader of an earlier term after the later one's link has ended

Cause: an agent kept the term beside the name of whom it follows, and forgot both when that link ended. A word of the earlier leader that came late on another link was believed then; the proxy was told of the old counter and of an age of news by it. Ruled out: the proxy (it takes what it is fed); the earlier leader (its word was true when it was sent). Change: the latest term heard is kept by itself. A test of that moment, seen failing before.

--- a/overland/src/follow.rs
+++ b/overland/src/follow.rs
@@ -97,6 +97,8 @@
     links: BTreeMap<String, Link>,
     /// Who leads, and in which term.
     leader: Option<(String, u64)>,
+    /// The latest term in which one was heard to lead, whether or not the link to that one has ended since.
+    term: u64,
     /// When the last question was asked that the leader answered, and the state was up to date.
     fresh: Option<Millis>,
 }
@@ -117,6 +119,7 @@
             members: Vec::new(),
             links: BTreeMap::new(),
             leader: None,
+            term: 0,
             fresh: None,
         };
         follow.learn(now, &settings.seeds, out);
@@ -289,10 +292,14 @@
         if !leads {
             return false;
         }
+        // What an earlier leader said may come after a later one's link has ended.
+        if term < self.term {
+            return false;
+        }
+        self.term = term;
         let mut tell = false;
         match self.leader.as_ref().map(|(name, term)| (name == core, *term)) {
             Some((true, known)) if known == term => {}
-            Some((_, known)) if known > term => return false,
             _ => {
                 log::info!("agent: {core} leads in term {term}");
                 self.leader = Some((core.to_owned(), term));
--- a/overland/tests/orders.rs
+++ b/overland/tests/orders.rs
@@ -4,7 +4,7 @@
 mod simulated;
 
 use overland::follow::{self, Follow};
-use overland::news::{Pulse, ToAgent};
+use overland::news::{FromProxy, Pulse, ToAgent};
 use simulated::{racers, Place, World};
 
 /// Plays drawn histories, and tells the seed of one that fails.
@@ -110,3 +110,37 @@
     agent.handle(60_000.0, told(vec![seed.clone()]), &mut out);
     assert!(!agent.wants(120_000.0, &member));
 }
+
+/// Replacement history 300944: the link to the leader ends, and the word of an earlier leader comes late on another.
+#[test]
+fn an_agent_follows_no_leader_of_an_earlier_term_though_the_later_one_is_gone() {
+    let (old, new) = (simulated::core_address(0).to_string(), simulated::core_address(1).to_string());
+    let seeds = vec![simulated::core_address(0), simulated::core_address(1)];
+    let mut out = Vec::new();
+    let mut agent = Follow::new(&simulated::settings("g".into(), None, seeds, false), 0.0, &mut out);
+    let word = follow::Event::Proxy { link: 1, word: FromProxy { at: Some(0.0), ..FromProxy::default() } };
+    let opened = [
+        follow::Event::Open(old.clone()),
+        follow::Event::Open(new.clone()),
+        follow::Event::ProxyOpen(1),
+        word,
+    ];
+    opened.into_iter().for_each(|event| agent.handle(0.0, event, &mut out));
+    let mut hears = |event: follow::Event| {
+        out.clear();
+        agent.handle(10.0, event, &mut out);
+        let fed = out.iter().filter_map(|action| match action {
+            follow::Action::Feed(news) => Some(news.term),
+            _ => None,
+        });
+        fed.collect::<Vec<_>>()
+    };
+    let leads = |core: &String, term: u64| {
+        let pulse = Some(Pulse { leads: true, term, ..Pulse::default() });
+        follow::Event::Said { core: core.clone(), news: Box::new(ToAgent { pulse, ..ToAgent::default() }) }
+    };
+    assert_eq!(hears(leads(&new, 6)), [6]);
+    hears(follow::Event::Closed(new.clone()));
+    assert!(hears(leads(&old, 5)).is_empty(), "the proxy is told of an earlier term");
+    assert_eq!(hears(leads(&old, 7)), [7]);
+}
