Send configurations as differences from the version that they build on

Change: an entry has pieces of the text before and what is new between them, if that is under half of the text. Since an order is taken only on top of what it builds on, whoever takes it has that text; a digest guards it, and a copy that can't is mended by its range. Who is sent the log or changes tells whether it reads this (reads); to others whole texts go, as before.

--- a/overland/src/agreement/letter.rs
+++ b/overland/src/agreement/letter.rs
@@ -2,6 +2,10 @@
 
 use prost::{Message, Oneof};
 
+/// What this program reads in entries: 1, a configuration as its difference from the one that it builds on. Earlier
+/// programs tell nought.
+pub const READS: u32 = 1;
+
 /// An entry of the log.
 #[derive(Clone, PartialEq, Message)]
 pub struct Entry {
@@ -175,6 +179,9 @@
     /// How many gateways' agents it hears. Earlier programs tell nought.
     #[prost(uint32, tag = "7")]
     pub reach: u32,
+    /// What it reads in entries: [`READS`].
+    #[prost(uint32, tag = "8")]
+    pub reads: u32,
 }
 
 /// A state.
--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -12,7 +12,7 @@
 mod role;
 mod snapshot;
 
-pub use letter::{Append, Entry, Install, Letter, Piece, Say};
+pub use letter::{Append, Entry, Install, Letter, Piece, Say, READS};
 pub use members::Roll;
 pub use snapshot::Sizes;
 
@@ -268,6 +268,12 @@
         self.said
     }
 
+    /// Whether all that are sent the log read what this program may write into it.
+    pub fn all_read(&self) -> bool {
+        let Role::Leader(lead) = &self.role else { return false };
+        lead.peers.values().chain(lead.joining.values()).all(|peer| peer.reads >= READS)
+    }
+
     /// How long ago the leader last heard this member, in ms, as far as its last word tells: what is passed to a leader that
     /// does not hear is lost.
     pub fn unheard(&self, now: Millis) -> Millis {
@@ -545,6 +551,7 @@
             at: append.at,
             leaving: self.leaving,
             reach: self.reach,
+            reads: READS,
         };
         if append.term < self.vow.term {
             actions.push(Action::Send { to: from, say: Say::Appended(answer) });
@@ -607,7 +614,7 @@
         if !progress.answered(now, answer.at, answer.counts, Some(answer.leaving)) {
             return;
         }
-        progress.reach = answer.reach;
+        (progress.reach, progress.reads) = (answer.reach, answer.reads);
         if answer.ok {
             progress.matched = progress.matched.max(answer.matched);
             progress.next = progress.next.max(answer.matched + 1);
--- a/overland/src/agreement/role.rs
+++ b/overland/src/agreement/role.rs
@@ -94,6 +94,8 @@
     pub(super) released: bool,
     /// How many agents it hears.
     pub(super) reach: u32,
+    /// What it reads in entries.
+    pub(super) reads: u32,
 }
 
 impl Progress {
@@ -114,6 +116,7 @@
             leaving: false,
             released: false,
             reach: 0,
+            reads: 0,
         }
     }
 
--- a/overland/src/agreement/snapshot.rs
+++ b/overland/src/agreement/snapshot.rs
@@ -4,7 +4,7 @@
 
 use super::letter::{Appended, Entry, Install, Piece, Say, Took};
 use super::role::Role;
-use super::{Action, Agreement, Append, Base, Name, Save, AGAIN_BYTES_MS, AGAIN_MS, HEARTBEAT_MS};
+use super::{Action, Agreement, Append, Base, Name, Save, AGAIN_BYTES_MS, AGAIN_MS, HEARTBEAT_MS, READS};
 use crate::state::hasher;
 use cherrytally::Millis;
 use std::collections::VecDeque;
@@ -286,7 +286,7 @@
         let ok = index <= self.commit;
         let matched = if ok { index } else { self.last() };
         let (term, leaving, reach) = (self.vow.term, self.leaving, self.reach);
-        let answer = Appended { term, ok, matched, counts, at, leaving, reach };
+        let answer = Appended { term, ok, matched, counts, at, leaving, reach, reads: READS };
         actions.push(Action::Send { to: from, say: Say::Appended(answer) });
     }
 
--- a/overland/src/follow.rs
+++ b/overland/src/follow.rs
@@ -2,7 +2,8 @@
 //! tells the core, and what it feeds its proxy. What happens comes in as [`Event`]s with the time, what is to be done
 //! goes out as [`Action`]s; [`Follow::due`] tells when it wants to be told of time.
 
-use crate::news::{FromAgent, FromProxy, Gateway, Mend, Pulse, ToAgent, ToProxy};
+use crate::agreement::READS;
+use crate::news::{FromAgent, FromProxy, Gateway, Mend, Numbered, Pulse, ToAgent, ToProxy};
 use crate::settings::Settings;
 use crate::state::{Digest, State};
 use cherrytally::Millis;
@@ -234,6 +235,7 @@
                 follows,
                 applied: proxy.map_or(0, |proxy| proxy.held),
                 ranges: self.state.as_ref().filter(|_| tells).map(State::ranges),
+                reads: READS,
             };
             out.push(Action::Say { core, word: Box::new(word) });
         }
@@ -264,8 +266,13 @@
         }
         let mut tell = false;
         if self.held() != before {
-            if !changes.is_empty() {
+            let read = self.proxy.as_ref().is_some_and(|(_, word)| word.reads >= READS);
+            if !changes.is_empty() && (read || !changes.iter().any(Numbered::differs)) {
                 self.feed(now, ToProxy { changes, ..ToProxy::default() }, out);
+            } else if !changes.is_empty() {
+                // The proxy is of an earlier program.
+                let whole = self.state.as_ref().map(|state| state.whole(now, false));
+                self.feed(now, ToProxy { whole, ..ToProxy::default() }, out);
             }
             tell = true;
         }
--- a/overland/src/lib.rs
+++ b/overland/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod control;
 pub mod copy;
+pub mod difference;
 pub mod figures;
 pub mod follow;
 pub mod ledger;
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -525,9 +525,13 @@
             return None;
         }
         let (index, term) = (self.agreement.last() + 1, self.agreement.term());
-        if let Kind::Configured(config) = &kind {
-            self.orders.propose(config, index, term);
-        }
+        let kind = match kind {
+            Kind::Configured(config) => {
+                self.orders.propose(&config, index, term);
+                Kind::Configured(self.shortened(config))
+            }
+            kind => kind,
+        };
         if let Some(caller) = caller {
             let mark = match self.calls.get(&caller).map(|w| &w.stage) {
                 Some(Stage::Proposing(mark)) => *mark,
--- a/overland/src/member/orders.rs
+++ b/overland/src/member/orders.rs
@@ -10,10 +10,12 @@
 use super::{Action, Caller, Granted, Member, Next, Stage, Wait};
 use crate::calls::{Answers, Done, Evacuate, Get, Order, Outcome, Patch, Put, Refusal, TakeBack};
 use crate::config::{digest_of_whole, Envelope};
+use crate::difference::Difference;
 use crate::ledger::Mark;
 use crate::news::{Configured, Kind, Refused};
 use crate::state::Fit;
 use cherrytally::Millis;
+use prost::Message;
 use std::collections::VecDeque;
 
 /// Orders that are proposed at once: eight are promised, and as many again may have been given up by their callers.
@@ -195,7 +197,20 @@
         let Mark { edition, based_on, order, call } = *mark;
         log::info!("core: proposes r{edition} on top of r{based_on}");
         let digests = vec![order, digest_of_whole(based_on, &text)];
-        Ok(Kind::Configured(Configured { edition, text, call, based_on: Some(based_on), digests }))
+        let based_on = Some(based_on);
+        Ok(Kind::Configured(Configured { edition, text, call, based_on, digests, difference: None }))
+    }
+
+    /// A configuration that is to be proposed, as its difference from the one in force, on which it builds, where all who
+    /// are sent the log read that and it is shorter. It is taken nowhere else than on top of that one.
+    pub(super) fn shortened(&self, config: Configured) -> Configured {
+        let known = self.state.config.as_ref().filter(|known| config.based_on == Some(known.edition));
+        let Some(known) = known.filter(|_| self.agreement.all_read()) else { return config };
+        let difference = Difference::between(&known.text, &config.text);
+        if difference.encoded_len() >= config.text.len() / 2 {
+            return config;
+        }
+        Configured { text: String::new(), difference: Some(difference), ..config }
     }
 
     fn refusal_of(&self, fit: Fit, mark: &Mark) -> Refusal {
--- a/overland/src/member/push.rs
+++ b/overland/src/member/push.rs
@@ -1,7 +1,7 @@
 //! What agents are told: who leads, and numbered changes.
 
 use super::{change_in, Action, Member, Next};
-use crate::agreement::{Entry, Name};
+use crate::agreement::{Entry, Name, READS};
 use crate::news::{Change, FromAgent, Gateway, Kind, Numbered, Pulse, ToAgent};
 use cherrytally::Millis;
 
@@ -96,6 +96,7 @@
             return;
         }
         let entries = self.agreement.since(agent.sent).filter(|_| agent.sent > 0);
+        let reads = agent.word.reads >= READS;
         let news = match entries {
             Some(entries) => {
                 // An order that was refused is a number alone to them.
@@ -106,7 +107,12 @@
                 };
                 let change = |entry| change_in(entry).filter(|change| stands(&entry, change));
                 let changes = entries.map(|entry| Numbered { index: entry.index, change: change(entry) });
-                ToAgent { changes: changes.collect(), ..ToAgent::default() }
+                let changes: Vec<_> = changes.collect();
+                // An agent of an earlier program reads whole texts alone.
+                let whole = !reads && changes.iter().any(Numbered::differs);
+                let whole = whole.then(|| self.state.whole(now, false));
+                let changes = if whole.is_some() { Vec::new() } else { changes };
+                ToAgent { changes, whole, ..ToAgent::default() }
             }
             None => ToAgent { whole: Some(self.state.whole(now, false)), ..ToAgent::default() },
         };
--- a/overland/src/news.rs
+++ b/overland/src/news.rs
@@ -1,5 +1,6 @@
 //! What the system's processes tell one another: one message type for each link.
 
+use crate::difference::Difference;
 use prost::{Message, Oneof};
 
 /// A change of the agreed state.
@@ -57,6 +58,9 @@
     /// In a change: digests of what the order said, and of the whole that it brings.
     #[prost(fixed64, repeated, tag = "5")]
     pub digests: Vec<u64>,
+    /// In a change, in place of the text: how it differs from the text of the version that it builds on.
+    #[prost(message, optional, tag = "6")]
+    pub difference: Option<Difference>,
 }
 
 /// An order on top of a version that was never in force.
@@ -231,6 +235,14 @@
     pub change: Option<Change>,
 }
 
+impl Numbered {
+    /// Whether it brings a configuration as its difference from the one before.
+    pub fn differs(&self) -> bool {
+        let kind = self.change.as_ref().and_then(|change| change.kind.as_ref());
+        matches!(kind, Some(Kind::Configured(config)) if config.difference.is_some())
+    }
+}
+
 /// What an agent tells a core process.
 #[derive(Clone, PartialEq, Message)]
 pub struct FromAgent {
@@ -255,6 +267,9 @@
     /// The copy differs from the leader's with the same number: its ranges.
     #[prost(message, optional, tag = "9")]
     pub ranges: Option<Ranges>,
+    /// What it reads in changes: [`crate::agreement::READS`].
+    #[prost(uint32, tag = "10")]
+    pub reads: u32,
 }
 
 /// What a core process tells an agent.
@@ -347,6 +362,9 @@
     /// When it was sent, by the proxy's own clock, in ms.
     #[prost(double, optional, tag = "5")]
     pub at: Option<f64>,
+    /// What it reads in changes: [`crate::agreement::READS`].
+    #[prost(uint32, tag = "6")]
+    pub reads: u32,
 }
 
 /// Charges to the counting gateway.
--- a/overland/src/state.rs
+++ b/overland/src/state.rs
@@ -109,6 +109,8 @@
     Backends,
     /// Gateways.
     Gateways,
+    /// A configuration that can't be read by this copy: it is not what the others have, and is to be mended.
+    Unread,
     /// Nothing.
     Nothing,
 }
@@ -187,7 +189,16 @@
             return Touched::Nothing;
         }
         self.ledger.take(index, config);
-        self.config = Some(Configured { based_on: None, digests: Vec::new(), ..config.clone() });
+        let text = match &config.difference {
+            None => Some(config.text.clone()),
+            Some(difference) => self.config.as_ref().and_then(|config| difference.applied(&config.text)),
+        };
+        let Some(text) = text else {
+            log::error!("state: what r{} changes can't be read", config.edition);
+            return Touched::Unread;
+        };
+        let Configured { edition, call, .. } = *config;
+        self.config = Some(Configured { edition, text, call, ..Configured::default() });
         Touched::Config
     }
 
--- a/overland/tests/ledger.rs
+++ b/overland/tests/ledger.rs
@@ -19,7 +19,8 @@
 fn change(mark: &Mark) -> Change {
     let Mark { edition, based_on, order, call } = *mark;
     let (text, digests) = (format!("{edition}"), vec![order, !order]);
-    let config = Configured { edition, text, call, based_on: Some(based_on), digests };
+    let config =
+        Configured { edition, text, call, based_on: Some(based_on), digests, ..Configured::default() };
     Change { kind: Some(Kind::Configured(config)), ..Change::default() }
 }
 
--- a/overland/tests/orders.rs
+++ b/overland/tests/orders.rs
@@ -3,8 +3,11 @@
 
 mod simulated;
 
+use overland::difference::Difference;
 use overland::follow::{self, Follow};
-use overland::news::{FromProxy, Pulse, ToAgent};
+use overland::news::{Change, Configured, FromProxy, Kind, Numbered, Pulse, ToAgent, Whole};
+use overland::state::{State, Touched};
+use prost::Message;
 use simulated::{racers, Place, World};
 
 /// Plays drawn histories, and tells the seed of one that fails.
@@ -41,6 +44,21 @@
     });
 }
 
+/// How many configurations the leader's log has as differences, and how many as whole texts.
+fn travelled(world: &World) -> (usize, usize) {
+    let leader = world.leader().expect("somebody leads");
+    let agreement = world.cores[leader].running.as_ref().expect("it runs").agreement();
+    let first = (0..agreement.last()).find(|index| agreement.since(*index).is_some()).expect("a log");
+    let entries = agreement.since(first).into_iter().flatten();
+    let configs = entries.filter_map(|entry| match Change::decode(&entry.data[..]).ok()?.kind? {
+        Kind::Configured(config) => Some(config.difference.is_some()),
+        _ => None,
+    });
+    let configs = configs.collect::<Vec<_>>();
+    let differences = configs.iter().filter(|differs| **differs).count();
+    (differences, configs.len() - differences)
+}
+
 /// In calm each order has its clear answer within its caller's second, alone and with seven others under way, and the
 /// first try gives it.
 #[test]
@@ -57,6 +75,8 @@
             let under_way = world.racers.took.iter().filter(|took| took.under_way >= slots.min(4));
             let mut ms: Vec<f64> = under_way.map(|took| took.ms).collect();
             ms.sort_by(f64::total_cmp);
+            let (differences, texts) = travelled(&world);
+            assert!(differences > 100 && texts <= 2, "{differences} differences, {texts} whole texts");
             let (middle, worst) = (ms[ms.len() / 2], ms[ms.len() - 1]);
             println!("{slots} under way: {} orders, median {middle:.0} ms, worst {worst:.0} ms", ms.len());
             assert!(worst < 1000.0, "an order waited {worst:.0} ms");
@@ -144,3 +164,54 @@
     assert!(hears(leads(&old, 5)).is_empty(), "the proxy is told of an earlier term");
     assert_eq!(hears(leads(&old, 7)), [7]);
 }
+
+fn configured(edition: u64, text: &str) -> Configured {
+    Configured { edition, text: text.to_owned(), call: edition, ..Configured::default() }
+}
+
+/// The change from one text to another, as a difference.
+fn as_difference(index: u64, edition: u64, old: &str, new: &str) -> Numbered {
+    let difference = Some(Difference::between(old, new));
+    let config = Configured { based_on: Some(edition - 1), difference, ..configured(edition, "") };
+    Numbered { index, change: Some(Change { kind: Some(Kind::Configured(config)), ..Change::default() }) }
+}
+
+/// A copy whose text is not the one that was built on takes nothing for the next one: its digest tells, and it is mended.
+#[test]
+fn a_difference_makes_no_other_text_than_the_one_that_was_taken() {
+    let mut copy = State { config: Some(configured(1, r#"{"a":1}"#)), ..State::default() };
+    let change = as_difference(2, 2, r#"{"a":1}"#, r#"{"a":2}"#);
+    assert_eq!(copy.clone().follow(0.0, &[change.clone()]), [Touched::Config]);
+    copy.config = Some(configured(1, r#"{"b":1}"#));
+    assert_eq!(copy.follow(0.0, &[change]), [Touched::Unread]);
+    assert_eq!(copy.config, Some(configured(1, r#"{"b":1}"#)));
+}
+
+/// A proxy of an earlier program, which reads no differences, is fed the whole state in their place.
+#[test]
+fn who_reads_no_differences_is_sent_whole_texts() {
+    let core = simulated::core_address(0).to_string();
+    let (old, new) = (r#"{"a":1}"#, r#"{"a":2}"#);
+    for reads in [0, overland::agreement::READS] {
+        let mut out = Vec::new();
+        let settings = simulated::settings("g".into(), None, vec![simulated::core_address(0)], false);
+        let mut agent = Follow::new(&settings, 0.0, &mut out);
+        agent.handle(0.0, follow::Event::Open(core.clone()), &mut out);
+        agent.handle(0.0, follow::Event::ProxyOpen(1), &mut out);
+        let word = FromProxy { reads, at: Some(0.0), ..FromProxy::default() };
+        agent.handle(0.0, follow::Event::Proxy { link: 1, word }, &mut out);
+        let whole = Whole { index: 1, config: Some(configured(1, old)), ..Whole::default() };
+        let said = |news| follow::Event::Said { core: core.clone(), news: Box::new(news) };
+        agent.handle(1.0, said(ToAgent { whole: Some(whole), ..ToAgent::default() }), &mut out);
+        out.clear();
+        let changes = vec![as_difference(2, 2, old, new)];
+        agent.handle(2.0, said(ToAgent { changes, ..ToAgent::default() }), &mut out);
+        let fed = out.iter().find_map(|action| match action {
+            follow::Action::Feed(news) => Some((news.changes.len(), news.whole.clone())),
+            _ => None,
+        });
+        let (changes, whole) = fed.expect("the proxy is fed");
+        let text = whole.and_then(|whole| whole.config).map(|config| config.text);
+        assert_eq!((changes, text), if reads == 0 { (0, Some(new.to_owned())) } else { (1, None) });
+    }
+}
