Push in rounds, and have gateways tell at once only what somebody waits for

Need: the fourth thing that breaks at the size to design for (docs/CAPACITY.md): each entry of the log drew ten words and ten answers from each gateway, so that a fleet's start, thousands of first beats, was not over after 90 s at 930 gateways. Change: an agent tells at once whether clients are taken, to all, and that its proxy holds a configuration, to who leads; all else goes with the next word. Ruled out: slower words (they carry the moment up to which keys hold).

--- a/overland/src/follow.rs
+++ b/overland/src/follow.rs
@@ -5,7 +5,7 @@
 use crate::agreement::READS;
 use crate::news::{FromAgent, FromProxy, Gateway, Mend, Numbered, Pulse, ToAgent, ToProxy};
 use crate::settings::Settings;
-use crate::state::{Digest, State};
+use crate::state::{Digest, State, Touched};
 use cherrytally::Millis;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -100,6 +100,8 @@
     leader: Option<(String, u64)>,
     /// The latest term in which one was heard to lead, whether or not the link to that one has ended since.
     term: u64,
+    /// The last change that brought a configuration: orders wait until the leader hears that it is held here.
+    awaited: u64,
     /// When the last question was asked that the leader answered, and the state was up to date.
     fresh: Option<Millis>,
 }
@@ -121,6 +123,7 @@
             links: BTreeMap::new(),
             leader: None,
             term: 0,
+            awaited: 0,
             fresh: None,
         };
         follow.learn(now, &settings.seeds, out);
@@ -241,12 +244,21 @@
         }
     }
 
-    /// There is something new to tell.
+    /// There is something new to tell that all of the core want to know: who takes clients.
     fn speak_to_all(&mut self, now: Millis, out: &mut Vec<Action>) {
         self.links.values_mut().filter(|link| link.due.is_finite()).for_each(|link| link.due = now);
         self.speak(now, out);
     }
 
+    /// There is something new to tell that only who leads waits for. The others hear of it with the next word.
+    fn speak_to_leader(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let link = self.leader.as_ref().and_then(|(name, _)| self.links.get_mut(name));
+        if let Some(link) = link.filter(|link| link.due.is_finite()) {
+            link.due = now;
+            self.speak(now, out);
+        }
+    }
+
     fn gateway(&self) -> Gateway {
         let front = self.proxy.as_ref().map_or(String::new(), |(_, proxy)| proxy.front.clone());
         Gateway { node: self.node.clone(), zone: self.zone.clone(), front }
@@ -257,14 +269,18 @@
         let Some(link) = self.links.get_mut(core) else { return };
         link.heard = now;
         let before = self.held();
+        let mut tell = false;
         if let Some(whole) = whole.filter(|whole| whole.index > before) {
+            self.awaited = whole.index;
             self.state = Some(State::from_whole(now, whole.clone()));
             self.feed(now, ToProxy { whole: Some(whole), ..ToProxy::default() }, out);
+            tell = true;
         }
         if let Some(state) = &mut self.state {
-            state.follow(now, &changes);
+            if state.follow(now, &changes).contains(&Touched::Config) {
+                self.awaited = state.index;
+            }
         }
-        let mut tell = false;
         if self.held() != before {
             let read = self.proxy.as_ref().is_some_and(|(_, word)| word.reads >= READS);
             if !changes.is_empty() && (read || !changes.iter().any(Numbered::differs)) {
@@ -274,7 +290,6 @@
                 let whole = self.state.as_ref().map(|state| state.whole(now, false));
                 self.feed(now, ToProxy { whole, ..ToProxy::default() }, out);
             }
-            tell = true;
         }
         if let Some(mend) = mend {
             self.mend(now, mend);
@@ -363,7 +378,9 @@
             return;
         }
         let before = std::mem::replace(known, word);
-        let changed = FromProxy { at: known.at, ..before.clone() } != *known;
+        let changed = FromProxy { at: known.at, held: known.held, ..before.clone() } != *known;
+        // What else it holds is told with the next word: nobody waits for a backend's change to be held everywhere.
+        let awaited = before.held < self.awaited && known.held >= self.awaited;
         let mend = self.state.as_ref().and_then(|state| state.mend_for(now, ranges.as_ref()?));
         if mend.is_some() {
             self.feed(now, ToProxy { mend, ..ToProxy::default() }, out);
@@ -374,6 +391,8 @@
         }
         if changed {
             self.speak_to_all(now, out);
+        } else if awaited {
+            self.speak_to_leader(now, out);
         }
     }
 }
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -253,6 +253,9 @@
     orders: Orders,
     presence: Presence,
     agents: BTreeMap<u64, Agent>,
+    /// When all agents were last sent what is new, and whether something came since.
+    pushed: Millis,
+    unpushed: bool,
     count: count::Count,
     /// The number of the next call that is passed on.
     number: u64,
@@ -330,6 +333,8 @@
             orders: Orders::default(),
             presence: Presence::default(),
             agents: BTreeMap::new(),
+            pushed: f64::NEG_INFINITY,
+            unpushed: false,
             count: count::Count::default(),
             number: seed >> 16,
             ticks: 0,
@@ -418,6 +423,9 @@
         if self.ticks.is_multiple_of(COMPARE_TICKS) && self.leads() {
             self.compare(out);
         }
+        if self.unpushed {
+            self.push(now, out);
+        }
         self.let_late_go(now, out);
         self.enforce(now, out);
     }
--- a/overland/src/member/push.rs
+++ b/overland/src/member/push.rs
@@ -5,6 +5,10 @@
 use crate::news::{Change, FromAgent, Gateway, Kind, Numbered, Pulse, ToAgent};
 use cherrytally::Millis;
 
+/// Rounds of pushes are no closer, in ms: 930 gateways are 18,600 messages a second then, however many changes there are. A
+/// backend that drains has seconds, and an order waits for all gateways anyway.
+const PUSH_MS: Millis = 50.0;
+
 /// An agent's link.
 pub(super) struct Agent {
     pub(super) gateway: Gateway,
@@ -83,8 +87,14 @@
         Pulse { at, leads, term, index, members, digest }
     }
 
-    /// Sends all agents that follow what is new.
+    /// Sends all agents that follow what is new: at once after a pause, else with what comes until the next round. A fleet's
+    /// start brings thousands of changes one by one, and each would be a message to each gateway.
     pub(super) fn push(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.unpushed = now - self.pushed < PUSH_MS;
+        if self.unpushed {
+            return;
+        }
+        self.pushed = now;
         let follow = self.agents.iter().filter(|(_, agent)| agent.word.follows);
         let links: Vec<_> = follow.map(|(link, _)| *link).collect();
         links.into_iter().for_each(|link| self.push_to(now, link, out));
