Keep what is known of an agent for as long as its link stands

Cause: who was not heard for a minute was dropped from the core's list while its link stood. An agent tells who it is in the first word on a link only, so that its next words were of a gateway without a name: never agreed on, and so told no number to be up to date by. Ruled out: the push (its copy was the leader's); the term (one leader throughout). Change: the entry goes with its link. A test, seen failing before.

--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -450,7 +450,6 @@
         if self.unread && self.leads() {
             self.next.push_back(Next::Event(agreement::Event::Resign));
         }
-        self.agents.retain(|_, agent| now - agent.heard < presence::GONE_MS);
         self.mind_reach(now);
         // What comes later than that is refused as late.
         self.passed.retain(|_, heard| now - *heard < joining::ON_ITS_WAY_MS);
--- a/overland/src/member/presence.rs
+++ b/overland/src/member/presence.rs
@@ -12,7 +12,7 @@
 /// An agent that was not heard for so long has no part in what clients are told, in ms.
 pub(super) const HEARD_MS: Millis = 1500.0;
 /// A gateway that was not heard for so long is left out, in ms: it may be cut off and come back.
-pub(super) const GONE_MS: Millis = 60_000.0;
+const GONE_MS: Millis = 60_000.0;
 /// A backend that missed so many beats is left out.
 const BEATS: f64 = 4.0;
 /// A backend that left is remembered for so long, in ms: a beat of its may still be on the way.
--- a/overland/tests/control.rs
+++ b/overland/tests/control.rs
@@ -5,7 +5,7 @@
 mod simulated;
 
 use overland::agreement::{Append, Install, Letter, Say};
-use overland::news::{Mend, Whole, Word};
+use overland::news::{FromAgent, Gateway, Mend, Whole, Word};
 use simulated::troubles::{Trouble, ALL};
 use simulated::{Input, Place, World};
 
@@ -119,6 +119,30 @@
     });
 }
 
+/// History 2101222: a gateway is silent for over a minute on a link that stands, and is left out. Its next word on that link
+/// tells no more who it is, as it did so once; it is known again all the same.
+#[test]
+fn a_gateway_that_was_long_unheard_is_known_again() {
+    let mut world = World::new(1, 3, 0, 2, 4, 2);
+    world.begin();
+    world.pass(8_000.0);
+    let leader = world.leader().expect("a leader");
+    let gateway = Gateway { node: "late".into(), zone: "z0".into(), front: "10.1.0.99:80".into() };
+    let word = FromAgent { gateway: Some(gateway), ready: true, ..FromAgent::default() };
+    let knows = |world: &World| {
+        let member = world.cores[leader].running.as_ref().expect("it runs");
+        member.state().gateways.contains_key("late")
+    };
+    world.input(leader, Input::Agent(9_999, word.clone()));
+    world.pass(world.now + 500.0);
+    assert!(knows(&world));
+    world.pass(world.now + 62_000.0);
+    assert!(!knows(&world));
+    world.input(leader, Input::Agent(9_999, FromAgent { gateway: None, ..word }));
+    world.pass(world.now + 500.0);
+    assert!(knows(&world), "its words are nobody's");
+}
+
 /// A leader that no agent reaches keeps its peers, and hands over to a member that agents reach: gateways go by an old
 /// configuration, and none is counted, for as long as it leads.
 #[test]
