Make the whole state a message once for all gateways that need it within moments

Cause: stack samples of the leader, at 100% of a core, were in State::whole at each of six looks: a copy of all backends, encoded, for each agent whose number the log no longer reached, again and again as first beats moved the log on. Change: a framed whole state is kept for half a second and shared by all links, followed by the changes since; long messages are written without a copy. Mends and restores drop it. Ruled out: words (12 to 9 a second at rest), the network (loopback).

--- a/lab/src/scale/weigh.rs
+++ b/lab/src/scale/weigh.rs
@@ -171,6 +171,7 @@
                 match action {
                     Action::Save(_) => next = Some(Event::Saved { took_ms: 0.5 }),
                     Action::Say { news, .. } => self.note(&*news),
+                    Action::Whole { whole, .. } => self.note_framed(&whole),
                     Action::Count { totals, .. } => self.note(&totals),
                     Action::Answer { reply, .. } => self.status = reply.status,
                     _ => {}
@@ -181,7 +182,10 @@
 
     /// As the sockets do it: a message is made bytes.
     fn note(&mut self, message: &impl Message) {
-        let bytes = overland::link::framed(message);
+        self.note_framed(&overland::link::framed(message));
+    }
+
+    fn note_framed(&mut self, bytes: &[u8]) {
         self.said.0 += 1;
         self.said.1 += bytes.len() as u64;
     }
--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -2,7 +2,7 @@
 
 use crate::agreement::Name;
 use crate::calls::{Refusal, Reply};
-use crate::link::{self, Incoming, Outgoing, AGENT_MOST, CHARGES_MOST, HELLO_MOST, MOST};
+use crate::link::{self, framed, Incoming, Outgoing, AGENT_MOST, CHARGES_MOST, HELLO_MOST, MOST};
 use crate::member::{Action, Event, Member, TICK_MS, WRITTEN_MS};
 use crate::news::{Charges, CoreWord, FromAgent, Hello, Purpose, Word};
 use crate::settings::{Settings, Watch};
@@ -186,6 +186,7 @@
                 }
             }
             Action::Say { link, news } => self.say(link, &*news),
+            Action::Whole { link, whole } => self.say_framed(link, whole),
             Action::Count { link, totals } => self.say(link, &totals),
             Action::Stop(why) => {
                 log::error!("core: {why}");
@@ -197,8 +198,12 @@
 
     /// What finds no room ends its link: the other side comes again.
     fn say(&self, link: u64, news: &impl Message) {
+        self.say_framed(link, framed(news).into());
+    }
+
+    fn say_framed(&self, link: u64, message: Bytes) {
         let mut links = self.links.borrow_mut();
-        if links.get(&link).is_some_and(|out| !out.send(news)) {
+        if links.get(&link).is_some_and(|out| !out.send_framed(message)) {
             links.remove(&link);
         }
     }
@@ -239,7 +244,7 @@
         }
     }
 
-    async fn keep_link(self: Rc<Self>, to: Name, addr: SocketAddr, mut from: Receiver<Vec<u8>>) {
+    async fn keep_link(self: Rc<Self>, to: Name, addr: SocketAddr, mut from: Receiver<Bytes>) {
         loop {
             match link::connect(addr).await {
                 Ok(stream) => link::write(stream.into_split().1, from).await,
--- a/overland/src/link.rs
+++ b/overland/src/link.rs
@@ -1,7 +1,7 @@
 //! Connections between the system's processes: messages with their length before them, and a way out for each
 //! that is bounded.
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use prost::Message;
 use std::io::{self, ErrorKind};
 use std::marker::PhantomData;
@@ -104,31 +104,49 @@
     bytes
 }
 
+/// Messages up to this many bytes go out together with those that wait behind them: a whole state is longer.
+const TOGETHER_MOST: usize = 16 << 10;
+
 /// Where messages go out. What is sent when too many wait, or after the end, is lost, and the connection with it.
 #[derive(Clone)]
-pub struct Outgoing(Sender<Vec<u8>>);
+pub struct Outgoing(Sender<Bytes>);
 
 impl Outgoing {
     /// A way out, and what comes of it.
-    pub fn new() -> (Self, Receiver<Vec<u8>>) {
+    pub fn new() -> (Self, Receiver<Bytes>) {
         let (to, from) = channel(WAITING);
         (Outgoing(to), from)
     }
 
     /// Sends a message; false if it is lost.
     pub fn send(&self, message: &impl Message) -> bool {
-        self.0.try_send(framed(message)).is_ok()
+        self.send_framed(framed(message).into())
+    }
+
+    /// Sends a message that was framed before, for many; false if it is lost.
+    pub fn send_framed(&self, message: Bytes) -> bool {
+        self.0.try_send(message).is_ok()
     }
 }
 
 /// Writes what is sent until either end closes. Messages that wait together go out together.
-pub async fn write(mut io: OwnedWriteHalf, mut from: Receiver<Vec<u8>>) {
-    while let Some(mut bytes) = from.recv().await {
-        while let Ok(more) = from.try_recv() {
-            bytes.extend_from_slice(&more);
+pub async fn write(mut io: OwnedWriteHalf, mut from: Receiver<Bytes>) {
+    let mut together = Vec::new();
+    while let Some(first) = from.recv().await {
+        let mut last = Some(first);
+        // A long one is shared with other links, and is not copied.
+        while let Some(next) = last.take_if(|next| next.len() <= TOGETHER_MOST) {
+            together.extend_from_slice(&next);
+            last = from.try_recv().ok();
         }
-        if io.write_all(&bytes).await.is_err() {
+        if !together.is_empty() && io.write_all(&together).await.is_err() {
             return;
         }
+        together.clear();
+        if let Some(long) = last {
+            if io.write_all(&long).await.is_err() {
+                return;
+            }
+        }
     }
 }
--- a/overland/src/member/joining.rs
+++ b/overland/src/member/joining.rs
@@ -69,6 +69,7 @@
                 if !self.leads() && self.state.mend(now, mend) {
                     log::warn!("core: mended: {names}");
                     self.digest.forget();
+                    self.whole = None;
                     self.unread = false;
                 }
             }
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -18,6 +18,7 @@
 use crate::settings::Settings;
 use crate::state::{Digest, State, Touched};
 use crate::store::Pace;
+use bytes::Bytes;
 use cherrytally::Millis;
 use eyre::{eyre, Result};
 use joining::Passed;
@@ -137,6 +138,13 @@
         /// What.
         news: Box<ToAgent>,
     },
+    /// Tell an agent the whole state: a framed [`ToAgent`], made once for many. Where that can't be, its link ends.
+    Whole {
+        /// On which link.
+        link: u64,
+        /// The message.
+        whole: Bytes,
+    },
     /// Answer charges.
     Count {
         /// On which link.
@@ -256,6 +264,8 @@
     /// When all agents were last sent what is new, and whether something came since.
     pushed: Millis,
     unpushed: bool,
+    /// The whole state as it was sent last.
+    whole: Option<push::Kept>,
     count: count::Count,
     /// The number of the next call that is passed on.
     number: u64,
@@ -335,6 +345,7 @@
             agents: BTreeMap::new(),
             pushed: f64::NEG_INFINITY,
             unpushed: false,
+            whole: None,
             count: count::Count::default(),
             number: seed >> 16,
             ticks: 0,
@@ -563,7 +574,7 @@
             agreement::Action::Restore { index, state } => match Whole::decode(&state[..]) {
                 Ok(whole) => {
                     self.state = State { index, ..State::from_whole(now, whole) };
-                    (self.applied, self.unread) = (true, false);
+                    (self.applied, self.unread, self.whole) = (true, false, None);
                 }
                 Err(_) => out.push(Action::Stop(format!("the state {index} that was sent can't be read"))),
             },
--- a/overland/src/member/push.rs
+++ b/overland/src/member/push.rs
@@ -2,13 +2,26 @@
 
 use super::{change_in, Action, Member, Next};
 use crate::agreement::{Entry, Name, READS};
+use crate::link::framed;
 use crate::news::{Change, FromAgent, Gateway, Kind, Numbered, Pulse, ToAgent};
+use bytes::Bytes;
 use cherrytally::Millis;
 
 /// Rounds of pushes are no closer, in ms: 930 gateways are 18,600 messages a second then, however many changes there are. A
 /// backend that drains has seconds, and an order waits for all gateways anyway.
 const PUSH_MS: Millis = 50.0;
 
+/// A whole state that was made is sent to others for so long, in ms, with the changes since: its backends stay cold for that
+/// much longer at most.
+const WHOLE_MS: Millis = 500.0;
+
+/// The whole state as a message, as it was then.
+pub(super) struct Kept {
+    at: Millis,
+    index: u64,
+    bytes: Bytes,
+}
+
 /// An agent's link.
 pub(super) struct Agent {
     pub(super) gateway: Gateway,
@@ -101,32 +114,52 @@
     }
 
     fn push_to(&mut self, now: Millis, link: u64, out: &mut Vec<Action>) {
-        let Some(agent) = self.agents.get_mut(&link) else { return };
-        if agent.sent >= self.state.index {
+        let Some(agent) = self.agents.get(&link) else { return };
+        let (sent, reads) = (agent.sent, agent.word.reads >= READS);
+        if sent >= self.state.index {
             return;
         }
-        let entries = self.agreement.since(agent.sent).filter(|_| agent.sent > 0);
-        let reads = agent.word.reads >= READS;
-        let news = match entries {
-            Some(entries) => {
-                // An order that was refused is a number alone to them.
-                let stands = |entry: &&Entry, change: &Change| match &change.kind {
-                    Some(Kind::Configured(_)) => self.state.ledger.took(entry.index),
-                    Some(Kind::Refused(_)) => false,
-                    _ => true,
-                };
-                let change = |entry| change_in(entry).filter(|change| stands(&entry, change));
-                let changes = entries.map(|entry| Numbered { index: entry.index, change: change(entry) });
-                let changes: Vec<_> = changes.collect();
-                // An agent of an earlier program reads whole texts alone.
-                let whole = !reads && changes.iter().any(Numbered::differs);
-                let whole = whole.then(|| self.state.whole(now, false));
-                let changes = if whole.is_some() { Vec::new() } else { changes };
-                ToAgent { changes, whole, ..ToAgent::default() }
-            }
-            None => ToAgent { whole: Some(self.state.whole(now, false)), ..ToAgent::default() },
+        let known = self.changes_since(sent, reads).filter(|_| sent > 0);
+        let changes = known.unwrap_or_else(|| {
+            let (whole, changes) = self.whole_for(now, reads);
+            out.push(Action::Whole { link, whole });
+            changes
+        });
+        if let Some(agent) = self.agents.get_mut(&link) {
+            agent.sent = self.state.index;
+        }
+        if !changes.is_empty() {
+            let news = Box::new(ToAgent { changes, ..ToAgent::default() });
+            out.push(Action::Say { link, news });
+        }
+    }
+
+    /// The changes behind this number, as agents are told them; none where the log no longer has them, or where one of them
+    /// is a difference and an agent of an earlier program, which reads whole texts alone, is told.
+    fn changes_since(&self, index: u64, reads: bool) -> Option<Vec<Numbered>> {
+        // An order that was refused is a number alone to them.
+        let stands = |entry: &&Entry, change: &Change| match &change.kind {
+            Some(Kind::Configured(_)) => self.state.ledger.took(entry.index),
+            Some(Kind::Refused(_)) => false,
+            _ => true,
         };
-        agent.sent = self.state.index;
-        out.push(Action::Say { link, news: Box::new(news) });
+        let change = |entry| change_in(entry).filter(|change| stands(&entry, change));
+        let entries = self.agreement.since(index)?;
+        let changes: Vec<_> =
+            entries.map(|entry| Numbered { index: entry.index, change: change(entry) }).collect();
+        Some(changes).filter(|changes| reads || !changes.iter().any(Numbered::differs))
+    }
+
+    /// The whole state as a message, and the changes since. It is made once for all that need it within moments: at a
+    /// fleet's start that is everyone, and each would take a copy of all backends.
+    fn whole_for(&mut self, now: Millis, reads: bool) -> (Bytes, Vec<Numbered>) {
+        let kept = self.whole.as_ref().filter(|kept| now - kept.at < WHOLE_MS);
+        let kept = kept.and_then(|kept| Some((kept.bytes.clone(), self.changes_since(kept.index, reads)?)));
+        kept.unwrap_or_else(|| {
+            let whole = Some(self.state.whole(now, false));
+            let bytes = Bytes::from(framed(&ToAgent { whole, ..ToAgent::default() }));
+            self.whole = Some(Kept { at: now, index: self.state.index, bytes: bytes.clone() });
+            (bytes, Vec::new())
+        })
     }
 }
--- a/overland/tests/control.rs
+++ b/overland/tests/control.rs
@@ -215,3 +215,22 @@
     println!("from a cut to the first order taken elsewhere: median {median:.0} ms, worst {worst:.0} ms");
     assert!(worst < 4_000.0, "{worst:.0} ms");
 }
+
+/// A fleet that starts is sent one message, made once: its copies are whole all the same, with what came since.
+#[test]
+fn gateways_that_come_together_are_sent_one_whole_state() {
+    let mut world = World::new(1, 3, 0, 8, 12, 2);
+    world.begin();
+    world.pass(8_000.0);
+    (0..8).for_each(|gateway| world.kill_gateway(gateway));
+    world.pass(world.now + 3_000.0);
+    world.wholes.clear();
+    for gateway in 0..8 {
+        world.start_gateway(gateway);
+        world.pass(world.now + 20.0);
+    }
+    world.pass(world.now + 300.0);
+    let made: std::collections::BTreeSet<_> = world.wholes.iter().map(|whole| whole.as_ptr()).collect();
+    assert!(world.wholes.len() >= 8 && made.len() <= 2, "{} made, {} sent", made.len(), world.wholes.len());
+    world.settle(12_000.0);
+}
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -28,6 +28,8 @@
 /// A cut ends a connection after so long, in ms; what it holds up is tried again so often.
 const UNHEARD_MS: f64 = 2000.0;
 const HELD_MS: f64 = 50.0;
+/// Whole states that are kept to be looked at.
+const WHOLES: usize = 32;
 /// The judge looks at all data planes so often, in ms.
 const WATCH_MS: f64 = 100.0;
 /// What was calm for so long is in touch, in ms.
@@ -249,6 +251,8 @@
     calls: BTreeMap<u64, (usize, u64, f64, bool)>,
     /// Orders that were taken: when, and who said so.
     pub taken: Vec<(f64, usize)>,
+    /// The last whole states that agents were sent, the newest first.
+    pub wholes: Vec<bytes::Bytes>,
     /// The core processes that reach a majority of one another, and since when.
     well: Vec<usize>,
     settled: f64,
@@ -404,6 +408,7 @@
             luck: Luck::CALM,
             calls: BTreeMap::new(),
             taken: Vec::new(),
+            wholes: Vec::new(),
             well: Vec::new(),
             settled: 0.0,
             mutant: None,
@@ -839,6 +844,12 @@
                 let delay = self.delay();
                 self.at(delay, What::Answered(call, Some(reply)));
             }
+            Action::Whole { link, whole } => {
+                let news = ToAgent::decode(&whole[4..]).expect("it was framed");
+                self.wholes.truncate(WHOLES - 1);
+                self.wholes.insert(0, whole);
+                self.act(number, decided, Action::Say { link, news: Box::new(news) });
+            }
             Action::Say { link, mut news } => {
                 let core = &mut self.cores[number];
                 let leads = core.running.as_ref().is_some_and(|member| member.leads());
