The lab: let a pause pass before what is pushed is counted

Cause: since pushes go in rounds of 50 ms, what comes within a round of the last waits for the next tick; no time passed between the test's beats. Ruled out: a lost push (with a tick in between each comes). Change: Alone::rest passes four ticks, before each beat of the test and before the slope of a backend's first beat, which read nought. What the test asks for is unchanged.

--- a/lab/src/scale/weigh.rs
+++ b/lab/src/scale/weigh.rs
@@ -161,6 +161,11 @@
         self.event(Event::Tick);
     }
 
+    /// Nothing happens for a while: what comes next is pushed at once, and not with the next round.
+    pub fn rest(&mut self) {
+        (0..4).for_each(|_| self.pass(TICK_MS));
+    }
+
     /// Something happens.
     pub fn event(&mut self, event: Event) {
         let mut next = Some(event);
@@ -456,6 +461,7 @@
         peak,
     );
     alone.words(gateways);
+    alone.rest();
     alone.said = (0, 0);
     let start = thread_s();
     let path = format!("/api/Instances.Beat/{}", drawn.backend(0, 1));
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -43,6 +43,8 @@
     alone.call("POST", "/api/Config.Put".into(), drawn.put(1).into_bytes());
     alone.meet(0);
     let mut beat = |life, postmark| {
+        // After a pause what a beat brings is pushed at once.
+        alone.rest();
         alone.said = (0, 0);
         alone.call(
             "POST",
