--- a/overland/tests/histories/mod.rs
+++ b/overland/tests/histories/mod.rs
@@ -2,7 +2,11 @@
 //! kills at every step, slow processes and wiped disks. A history may be played with a fault in the program, too.
 #![allow(dead_code)] // Each test program takes what it needs of it.
 
-use overland::agreement::{Action, Agreement, Entry, Event, Save, Saved, Say, Sizes};
+#[path = "../kept/mod.rs"]
+mod kept;
+
+use kept::keep;
+use overland::agreement::{Action, Agreement, Entry, Event, Saved, Say, Sizes};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What has been agreed on, as plainly as can be: one list. Whoever applies an entry must find it there, or adds it.
@@ -50,20 +54,6 @@
     state
 }
 
-fn keep(disk: &mut Option<Saved>, save: Save) {
-    let disk = disk.get_or_insert_with(Saved::default);
-    disk.vow = save.vow;
-    if let Some(base) = save.base {
-        let behind = disk.entries.iter().position(|entry| entry.index > base.index);
-        disk.entries.drain(..behind.unwrap_or(disk.entries.len()));
-        disk.base = base;
-    }
-    if let Some((first, entries)) = save.entries {
-        disk.entries.retain(|entry| entry.index < first);
-        disk.entries.extend(entries);
-    }
-}
-
 /// What is deliberately wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mutant {
--- /dev/null
+++ b/overland/tests/kept/mod.rs
@@ -0,0 +1,18 @@
+//! What a disk holds after a save, as both kinds of drawn histories keep it.
+
+use overland::agreement::{Save, Saved};
+
+/// A save is put to what the disk had.
+pub fn keep(disk: &mut Option<Saved>, save: Save) {
+    let disk = disk.get_or_insert_with(Saved::default);
+    disk.vow = save.vow;
+    if let Some(base) = save.base {
+        let behind = disk.entries.iter().position(|entry| entry.index > base.index);
+        disk.entries.drain(..behind.unwrap_or(disk.entries.len()));
+        disk.base = base;
+    }
+    if let Some((first, entries)) = save.entries {
+        disk.entries.retain(|entry| entry.index < first);
+        disk.entries.extend(entries);
+    }
+}
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -10,8 +10,12 @@
 pub mod racers;
 pub mod troubles;
 
+#[path = "../kept/mod.rs"]
+mod kept;
+
 use callers::Callers;
 use judge::Judge;
+use kept::keep;
 use overland::agreement::{Entry, Save, Saved, Say};
 use overland::calls::Reply;
 use overland::copy::Copy;
@@ -331,21 +335,6 @@
     }
 }
 
-/// What a disk holds after a save.
-pub fn keep(disk: &mut Option<Saved>, save: Save) {
-    let disk = disk.get_or_insert_with(Saved::default);
-    disk.vow = save.vow;
-    if let Some(base) = save.base {
-        let behind = disk.entries.iter().position(|entry| entry.index > base.index);
-        disk.entries.drain(..behind.unwrap_or(disk.entries.len()));
-        disk.base = base;
-    }
-    if let Some((first, entries)) = save.entries {
-        disk.entries.retain(|entry| entry.index < first);
-        disk.entries.extend(entries);
-    }
-}
-
 impl World {
     /// So many founders, core machines that come later, gateways, backends and operators. Nothing runs yet.
     pub fn new(
