Drop a torn last save instead of taking the disk for damaged, and count saves on behind one that was set aside

Cause: the library drops a last batch without its end, but reports a wrong checksum where the end is there and bytes before it are missing; the store was then set aside with all that had been confirmed. And a store that was begun anew counted its saves from nought: once a loss of power brings the older mark back, it lies behind that mark and is set aside again. Ruled out: damage of what was confirmed passing for a torn save. Only the last batch can be dropped, and the number of the last save is compared with the mark as before. What no longer shows: damage to the very last save together with a loss of power that takes the mark's last writes. Change: on the library's error of a batch its end is cut off, and the library drops it by its own rule; saves count on; the first mark and the folder are brought to disk, so that a store without a mark was never confirmed and is made anew; counted invariants (overland/src/invariants.rs). The store is four files now.

--- a/overland/src/lib.rs
+++ b/overland/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod difference;
 pub mod figures;
 pub mod follow;
+pub mod invariants;
 pub mod ledger;
 pub mod link;
 pub mod member;
--- a/overland/src/store.rs
+++ b/overland/src/store/mod.rs
@@ -4,19 +4,29 @@
 //! Each record ends in a digest of what is before it; the vow, which each save writes, names the form, the last entry and
 //! the number of the save. A mark beside the store names that number, too, written when the save is on disk: a store that
 //! is behind its mark has lost what it had brought to disk.
+//!
+//! A loss of power may tear the save that was under way. Nobody was told of that save, so it is dropped, and all before it
+//! stands: [`Store::open`] never takes a torn last save for damage. Damage is what a save that was on disk has lost.
+
+mod journal;
+mod mark;
+mod pace;
+
+pub use pace::Pace;
 
 use crate::agreement::{Base, Entry, Save, Saved, Vow};
+use crate::invariants::{self, Invariant};
 use crate::state::hasher;
 use eyre::{bail, Result, WrapErr};
 use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
+use mark::Mark;
 use prost::Message;
 use std::cell::Cell;
-use std::fs::{self, File};
+use std::fs;
 use std::hash::Hasher;
 use std::io::{self, ErrorKind};
-use std::os::unix::fs::FileExt;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 /// Bytes of memory that the store may hold for reads.
 const CACHE: u64 = 1 << 20;
@@ -79,43 +89,27 @@
     state: Vec<u8>,
 }
 
-/// A disk that took longer than so many times its usual time, in so many saves in a row, and longer than this, in ms, is
-/// slow: its owner should not lead, as each change waits for it.
-const SLOW: (f64, u32, f64) = (6.0, 3, 5.0);
-/// Weight of a save that is not slow, in the usual time; a quicker one shows at once what the disk can do.
-const USUAL_GAIN: f64 = 0.1;
-
-/// Whether a disk is slow, by the time that saves take.
-#[derive(Debug, Default)]
-pub struct Pace {
-    usual_ms: Option<f64>,
-    slow: u32,
-}
-
-impl Pace {
-    /// A save took so long, in ms. True if the disk is slow by now.
-    pub fn saved(&mut self, took_ms: f64) -> bool {
-        let (times, in_a_row, least_ms) = SLOW;
-        let usual = *self.usual_ms.get_or_insert(took_ms);
-        if took_ms > (usual * times).max(least_ms) {
-            self.slow = self.slow.saturating_add(1);
-        } else {
-            self.slow = 0;
-            self.usual_ms = Some(took_ms.min(usual + (took_ms - usual) * USUAL_GAIN));
-        }
-        self.slow >= in_a_row
-    }
-}
-
 /// The store of one core process.
 pub struct Store {
     database: Database,
     keys: Keyspace,
-    mark: File,
+    mark: Mark,
     saves: Cell<u64>,
     last: Cell<u64>,
 }
 
+/// What came of opening the library's files.
+enum Opened {
+    /// They can be read.
+    Files(Database, Keyspace),
+    /// The disk takes nothing; another start may find it otherwise.
+    Passes(fjall::Error),
+    /// The journal holds a batch that is whole by its ends and not what was written, and why.
+    Torn(String),
+    /// They can't be read, and why.
+    Damaged(String),
+}
+
 /// What was read of a disk.
 enum Read {
     Nothing,
@@ -180,8 +174,8 @@
 }
 
 impl Store {
-    /// Opens the store in a folder, and reads what it holds: nothing where the disk is empty, and the vow of a process that
-    /// counts for nothing where it was damaged. The damaged store is set aside beside the new one.
+    /// Opens the store in a folder, and reads what it holds: nothing where nothing was ever brought to disk, and the vow of a
+    /// process that counts for nothing where what was there is damaged. The damaged store is set aside beside the new one.
     ///
     /// # Errors
     ///
@@ -192,41 +186,54 @@
         let marked = Mark::read(folder)?;
         // A start that ended right after it had set a damaged store aside finds that alone.
         let held = marked.is_some() || aside.exists();
-        let opened = Self::open_at(&path, folder)?;
-        let why = match opened {
-            Ok((store, read)) => match read {
-                Read::Held(_, saves, _) if saves > 0 && marked.is_some_and(|mark| mark > saves) => {
-                    format!("save {saves} is its last, and {} were made", marked.unwrap_or(0))
-                }
-                Read::Held(saved, saves, last) => {
-                    store.saves.set(saves.max(marked.unwrap_or(0)));
-                    store.last.set(last);
-                    // A disk that takes nothing more is found before anybody goes by what it will hold.
-                    let vow = saved.vow.clone();
-                    store
-                        .save(&Save { vow, entries: None, base: None })
-                        .wrap_err("the disk takes nothing")?;
-                    return Ok((store, Some(saved)));
-                }
-                Read::Nothing if !held => return Ok((store, None)),
-                Read::Nothing => "it is empty, and was not".to_owned(),
-                Read::Damaged(why) => why,
-            },
-            Err(why) => why,
+        let why = match Self::open_at(&path, folder)? {
+            Ok((_, Read::Held(_, saves, _))) if saves > 0 && marked.is_some_and(|mark| mark > saves) => {
+                format!("save {saves} is its last, and {} were made", marked.unwrap_or(0))
+            }
+            Ok((store, Read::Held(saved, saves, last))) => {
+                store.saves.set(saves.max(marked.unwrap_or(0)));
+                store.last.set(last);
+                // A disk that takes nothing more is found before anybody goes by what it will hold.
+                let vow = saved.vow.clone();
+                store.save(&Save { vow, entries: None, base: None }).wrap_err("the disk takes nothing")?;
+                return Ok((store, Some(saved)));
+            }
+            Ok((store, Read::Nothing)) if !held => return Ok((store, None)),
+            Ok((_, Read::Nothing)) => "it is empty, and was not".to_owned(),
+            Ok((_, Read::Damaged(why))) | Err(why) => why,
         };
+        if !held {
+            log::warn!("store: it was being made when power went: {why}: it is made anew");
+            return Self::make_anew(&path, folder);
+        }
+        invariants::violated(Invariant::DiskHoldsWhatWasSaved, &why);
         log::error!("store: the disk is damaged: {why}: it is set aside and filled up from the others");
-        Self::begin_anew(&path, &aside, folder)
+        Self::begin_anew(&path, &aside, folder, marked.unwrap_or(0))
     }
 
-    /// Sets a damaged store aside and begins one that counts for nothing.
-    fn begin_anew(path: &PathBuf, aside: &PathBuf, folder: &Path) -> Result<(Self, Option<Saved>)> {
+    /// Makes a store again of which nothing was ever confirmed.
+    fn make_anew(path: &Path, folder: &Path) -> Result<(Self, Option<Saved>)> {
+        if path.exists() {
+            fs::remove_dir_all(path)?;
+        }
+        mark::sync_folder(folder)?;
+        let (store, _) = Self::open_at(path, folder)?.map_err(|why| eyre::eyre!("a new store: {why}"))?;
+        Ok((store, None))
+    }
+
+    /// Sets a damaged store aside and begins one that counts for nothing. Its saves are counted on from those of the damaged
+    /// one: behind a loss of power the mark may be that one's again.
+    fn begin_anew(path: &Path, aside: &Path, folder: &Path, marked: u64) -> Result<(Self, Option<Saved>)> {
         if aside.exists() && path.exists() {
             fs::remove_dir_all(aside)?;
         }
         if path.exists() {
             fs::rename(path, aside)?;
         }
+        // No loss of power brings the damaged store back in the new one's place.
+        mark::sync_folder(folder)?;
         let (store, _) = Self::open_at(path, folder)?.map_err(|why| eyre::eyre!("a new store: {why}"))?;
+        store.saves.set(marked);
         let saved = Saved::default();
         store.save(&Save {
             vow: saved.vow.clone(),
@@ -238,22 +245,9 @@
 
     /// Opens and reads what is there; why it can't be gone by, where it can't.
     fn open_at(path: &Path, folder: &Path) -> Result<std::result::Result<(Self, Read), String>> {
-        let open = || -> std::result::Result<(Database, Keyspace), fjall::Error> {
-            let database = Database::builder(path)
-                .cache_size(CACHE)
-                .max_journaling_size(JOURNAL)
-                .worker_threads(1)
-                .open()?;
-            let keys = database
-                .keyspace("agreement", || KeyspaceCreateOptions::default().max_memtable_size(UNSORTED))?;
-            Ok((database, keys))
-        };
-        // The library ends in a panic on some files that it did not write so.
-        let (database, keys) = match catch_unwind(AssertUnwindSafe(open)) {
-            Ok(Ok(opened)) => opened,
-            Ok(Err(error)) if passes(&error) => return Err(error).wrap_err("the disk takes nothing"),
-            Ok(Err(error)) => return Ok(Err(error.to_string())),
-            Err(_) => return Ok(Err("its files can't be read".to_owned())),
+        let (database, keys) = match Self::open_library(path)? {
+            Ok(opened) => opened,
+            Err(why) => return Ok(Err(why)),
         };
         let mark = Mark::open(folder)?;
         let store = Store { database, keys, mark, saves: Cell::new(0), last: Cell::new(0) };
@@ -273,6 +267,48 @@
         Ok(Ok((store, read)))
     }
 
+    /// Opens the library's files. Where its journal ends in a batch that it does not read, that batch is dropped and the
+    /// files are opened once more: whether that was more than the save under way, the number of the last save tells.
+    fn open_library(path: &Path) -> Result<std::result::Result<(Database, Keyspace), String>> {
+        match Self::try_library(path) {
+            Opened::Files(database, keys) => Ok(Ok((database, keys))),
+            Opened::Passes(error) => Err(error).wrap_err("the disk takes nothing"),
+            Opened::Torn(why) => {
+                if !journal::drop_torn_batch(path)? {
+                    return Ok(Err(why));
+                }
+                log::warn!("store: the save that was under way is torn and dropped: {why}");
+                match Self::try_library(path) {
+                    Opened::Files(database, keys) => Ok(Ok((database, keys))),
+                    Opened::Passes(error) => Err(error).wrap_err("the disk takes nothing"),
+                    Opened::Torn(why) | Opened::Damaged(why) => Ok(Err(why)),
+                }
+            }
+            Opened::Damaged(why) => Ok(Err(why)),
+        }
+    }
+
+    fn try_library(path: &Path) -> Opened {
+        let open = || -> std::result::Result<(Database, Keyspace), fjall::Error> {
+            let database = Database::builder(path)
+                .cache_size(CACHE)
+                .max_journaling_size(JOURNAL)
+                .worker_threads(1)
+                .open()?;
+            let keys = database
+                .keyspace("agreement", || KeyspaceCreateOptions::default().max_memtable_size(UNSORTED))?;
+            Ok((database, keys))
+        };
+        // The library ends in a panic on some files that it did not write so.
+        match catch_unwind(AssertUnwindSafe(open)) {
+            Ok(Ok((database, keys))) => Opened::Files(database, keys),
+            Ok(Err(error)) if passes(&error) => Opened::Passes(error),
+            Ok(Err(fjall::Error::JournalRecovery(error))) => Opened::Torn(error.to_string()),
+            Ok(Err(error)) => Opened::Damaged(error.to_string()),
+            Err(_) => Opened::Damaged("its files can't be read".to_owned()),
+        }
+    }
+
     /// The form that the vow names.
     fn form(&self) -> Result<u32> {
         let vow = self.keys.get(VOW)?.map(|vow| opened::<VowForm>(&vow)).transpose()?;
@@ -340,56 +376,7 @@
         self.database.persist(PersistMode::SyncAll)?;
         self.last.set(last);
         self.saves.set(saves);
-        Mark::write(&self.mark, saves)?;
+        self.mark.write(saves)?;
         Ok(())
     }
 }
-
-/// The number of the last save, beside the store. It is not brought to disk by itself: after a loss of power it may be
-/// older than the store, never newer.
-struct Mark;
-
-impl Mark {
-    fn open(folder: &Path) -> io::Result<File> {
-        File::options().read(true).write(true).create(true).truncate(false).open(folder.join("core.mark"))
-    }
-
-    /// None where there is none, or none that can be read: the store stands for itself then.
-    fn read(folder: &Path) -> io::Result<Option<u64>> {
-        let bytes = match fs::read(folder.join("core.mark")) {
-            Ok(bytes) => bytes,
-            Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
-            Err(error) => return Err(error),
-        };
-        let word = |at: usize| bytes.get(at..at + 8)?.try_into().ok().map(u64::from_le_bytes);
-        let (saves, known) = (word(0), word(8));
-        Ok(saves.filter(|saves| known == Some(digest(&saves.to_le_bytes()))))
-    }
-
-    fn write(file: &File, saves: u64) -> io::Result<()> {
-        let mut bytes = saves.to_le_bytes().to_vec();
-        bytes.extend(digest(&saves.to_le_bytes()).to_le_bytes());
-        file.write_all_at(&bytes, 0)
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_disk_is_slow_beside_what_is_usual_for_it() {
-        let mut pace = Pace::default();
-        let mut after = |times: &[f64]| times.iter().map(|ms| pace.saved(*ms)).last();
-        // The first save makes its files, too.
-        assert_eq!(after(&[30.0, 0.6, 0.7, 0.5]), Some(false));
-        // Thirty times as long, or hanging once.
-        assert_eq!(after(&[18.0, 18.0]), Some(false));
-        assert_eq!(after(&[18.0]), Some(true));
-        assert_eq!(after(&[0.6, 3000.0, 0.6, 0.6]), Some(false));
-        // Little more than usual, however long that lasts.
-        assert_eq!(after(&[3.0; 50]), Some(false));
-        let mut slow_from_the_first = Pace::default();
-        assert!(!(0..50).any(|_| slow_from_the_first.saved(12.0)));
-    }
-}
