--- /dev/null
+++ b/overland/tests/processes/mod.rs
@@ -0,0 +1,232 @@
+//! Real processes of the system on loopback, and the backends, operators and clients round them.
+#![allow(dead_code)] // Each test program takes what it needs of it.
+
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Barrier};
+use std::time::{Duration, Instant};
+
+/// Longest wait for a condition, far beyond what any takes.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+
+/// Processes that end with the test, however it ends.
+pub struct Process(pub Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+pub fn signal(process: &Process, name: &str) {
+    let id = process.0.id().to_string();
+    assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+}
+
+/// Two ports in a row that the system finds free, on every address that the test uses.
+pub fn inner_ports() -> u16 {
+    (0..100)
+        .find_map(|_| {
+            let first = TcpListener::bind("127.0.0.1:0").ok()?.local_addr().ok()?.port();
+            let next = first.checked_add(1)?;
+            TcpListener::bind(("127.0.0.1", next)).ok().map(|_| first)
+        })
+        .expect("two free ports")
+}
+
+pub fn port(ip: &str) -> u16 {
+    TcpListener::bind((ip, 0)).and_then(|l| l.local_addr()).expect("a free port").port()
+}
+
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+/// One call on a connection of its own. None if nobody answers.
+pub fn call(addr: &str, method: &str, path: &str, headers: &str, body: &str) -> Option<Answer> {
+    let mut stream =
+        TcpStream::connect_timeout(&addr.parse::<SocketAddr>().ok()?, Duration::from_secs(2)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    let length = body.len();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nConnection: close\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Answer { status, head: head.to_ascii_lowercase(), body: body.to_owned() })
+}
+
+/// Asks until the answer is as wanted.
+pub fn until<T>(what: &str, mut ask: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(answer) = ask() {
+            return answer;
+        }
+        assert!(start.elapsed() < PATIENCE, "{what} did not come");
+        std::thread::yield_now();
+    }
+}
+
+/// Bytes of a large answer: more than sockets hold on their way.
+pub const LARGE: usize = 48 << 20;
+
+/// A backend: answers each request with its stamp, and tells what came. Of those that name a pair it answers none before
+/// two are there; one that names a large answer gets one, and one that names silence none.
+pub fn backend() -> (String, Receiver<String>) {
+    let pairs = Arc::new(Barrier::new(2));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("bound").to_string();
+    let (to, from) = channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (to, pairs) = (to.clone(), pairs.clone());
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(stream);
+                loop {
+                    let (mut head, mut line, mut id, mut length) =
+                        (String::new(), String::new(), String::new(), 0);
+                    loop {
+                        line.clear();
+                        if reader.read_line(&mut line).unwrap_or(0) == 0 {
+                            return;
+                        }
+                        let lower = line.to_ascii_lowercase();
+                        if let Some(of) = lower.strip_prefix("request-id: ") {
+                            id = of.trim().to_owned();
+                        }
+                        if let Some(of) = lower.strip_prefix("content-length: ") {
+                            length = of.trim().parse().unwrap_or(0);
+                        }
+                        if line == "\r\n" {
+                            break;
+                        }
+                        head.push_str(&line);
+                    }
+                    let mut body = vec![0; length];
+                    if reader.read_exact(&mut body).is_err() {
+                        return;
+                    }
+                    if head.contains("/pair") {
+                        pairs.wait();
+                    }
+                    let (large, silent) = (head.contains("/large"), head.contains("/silent"));
+                    let _ = to.send(head + "\r\n" + &String::from_utf8_lossy(&body));
+                    if silent {
+                        continue;
+                    }
+                    let body = if large { vec![b'x'; LARGE] } else { b"hello".to_vec() };
+                    let length = body.len();
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nStamp: s.1\r\nX-Own: 7\r\nContent-Length: {length}\r\n\r\n"
+                    );
+                    let stream = reader.get_mut();
+                    if stream.write_all(answer.as_bytes()).and_then(|()| stream.write_all(&body)).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (addr, from)
+}
+
+pub struct Fleet {
+    pub folder: tempfile::TempDir,
+    pub inner: u16,
+    pub seeds: Vec<String>,
+}
+
+/// A gateway's agent and proxy, and where clients arrive and readiness is told.
+pub struct Gateway {
+    pub agent: Process,
+    pub proxy: Process,
+    pub front: String,
+    pub ready: String,
+}
+
+/// One beat of a backend, as its body.
+pub fn beat(server: &str, postmark: u64) -> String {
+    format!(
+        r#"{{"service":"s1","address":"{server}","zone":"a","edition":"v1","berths":2,"state":"open","cold_time":"0ms","postmark":{postmark}}}"#
+    )
+}
+
+impl Fleet {
+    /// Nothing runs yet; so many core processes found it.
+    pub fn new(cores: usize) -> Self {
+        let ips = (2..2 + cores).map(|n| format!("127.0.0.{n}"));
+        let seeds = ips.map(|ip| format!("{ip}:{}", port(&ip))).collect();
+        Fleet { folder: tempfile::tempdir().expect("a folder"), inner: inner_ports(), seeds }
+    }
+
+    /// A gateway at this address, once it is ready.
+    pub fn gateway(&self, name: &str, ip: &str) -> Gateway {
+        let (front, ready) = (format!("{ip}:{}", port(ip)), format!("{ip}:{}", port(ip)));
+        let docks = format!("    front: \"{front}\"\n    ready: \"{ready}\"\n");
+        let settings = self.settings(name, ip, "counter", &docks, true);
+        let agent = start(env!("CARGO_BIN_EXE_windermere"), &settings);
+        let proxy = start(env!("CARGO_BIN_EXE_pelion"), &settings);
+        until("a ready gateway", || call(&ready, "GET", "/api/ready", "", "").filter(|a| a.status == 200));
+        Gateway { agent, proxy, front, ready }
+    }
+
+    pub fn settings(&self, name: &str, ip: &str, class: &str, docks: &str, first: bool) -> PathBuf {
+        let data = self.folder.path().join(name);
+        std::fs::create_dir_all(&data).expect("a folder");
+        let mut seeds = String::new();
+        for seed in &self.seeds {
+            let _ = writeln!(seeds, "    - \"{seed}\"");
+        }
+        let text = format!(
+            "sender:\n  node: \"{name}\"\n  role: \"any\"\n  machine_class: \"{class}\"\n  ip: \"{ip}\"\n  zone: \"a\"\n  \
+             region: \"r\"\n  first_start: {first}\n  data_dir: \"{}\"\n  limits:\n    memory_mb: 256\n    fds: 1000\n\
+             network:\n  docks_at:\n{docks}  inner_ports:\n    - {}\n    - {}\n  seeds:\n{seeds}  zones:\n    a: \"r\"\n\
+             carrier:\n  beat: \"1500ms\"\ntariffs:\n  bounds:\n    ack: \"8000ms\"\n    grace: \"6s\"\n    closed: true\n    \
+             revoke: \"5000ms\"\n    quota_slack: 20\n    ttl_max: \"5s\"\n",
+            data.display(),
+            self.inner,
+            self.inner + 1,
+        );
+        let file = self.folder.path().join(format!("{name}.yaml"));
+        std::fs::write(&file, text).expect("a file");
+        file
+    }
+
+    pub fn core(&self, number: usize, first: bool) -> Process {
+        let (ip, seed) = (format!("127.0.0.{}", number + 2), &self.seeds[number]);
+        let docks = format!("    control: \"{seed}\"\n");
+        start(
+            env!("CARGO_BIN_EXE_narcissus"),
+            &self.settings(&format!("core{number}"), &ip, "sorting", &docks, first),
+        )
+    }
+}
+
+pub fn start(program: &str, settings: &Path) -> Process {
+    let mut command = Command::new(program);
+    command.arg("run").arg("--settings").arg(settings).args(["--log", "warn"]);
+    Process(command.spawn().expect("it starts"))
+}
+
+pub fn config(edition: u64, based_on: &str, keys: &str) -> String {
+    format!(
+        r#"{{"edition":"r{edition}","based_on":"{based_on}","limits":{{"label_bytes":16384,"body_bytes":1048576,"label_time":"3000ms","idle":"15000ms"}},
+"patrons":[{{"name":"t1","stamps":[{keys}],"priority":0,"per_s":1000,"burst":1000,"home_regions":[]}}],
+"docks":[{{"depot":"a.example","regulations":[{{"name":"r-1","kind":"unsafe","target":"2s","priority":1,"unstamped":false,"sorting":{{"lane_prefix":"/x/"}},
+"dispatch":{{"service":"s1","timeout":"5s","attempts":2,"home_regions":[]}}}},
+{{"name":"r-2","kind":"safe","target":"2s","priority":1,"unstamped":true,"sorting":{{"lane_prefix":"/s/"}},
+"dispatch":{{"service":"s1","timeout":"30s","attempts":1,"home_regions":[]}}}}]}}],
+"fleets":[{{"name":"s1","health_path":"/health","conn_cap":110,"protocol":"h1","sealed":false,"cold":"3s","cold_per_s":22.0}}]}}"#
+    )
+}
