Answer whatever is in hand before a gateway ends, and wait for answers until their last byte is written

Cause: a proxy that was told to end waited until nothing was in hand, where a request is out of hand when its answer is decided, and ended 100 ms later; large answers were cut. At 0.92 of grace it ended with requests in hand, without a word. Ruled out: answering earlier. A backend's silence is no reason to end an answer sooner, so nothing changes before 0.92. Change: it waits until the last connection has ended (a connection that never asked is closed at once), gives final answers at 0.92 of grace - 503 where nothing was sent, 502 where it may have run - and ends when they are written, by 0.97. What comes before a request is sent on is a function of its own now. Before: both tests of tests/ending.rs fail (ended after 2.8 s with an answer on its way; two requests without an answer). After: both pass, with the drawn data planes and the whole path.

--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -5,6 +5,7 @@
 use crate::charging::Pending;
 use crate::copy::{Copy, Taken};
 use crate::figures::{Figures, Present};
+use crate::invariants::{self, Invariant};
 use crate::link::{self, Incoming, Outgoing};
 use crate::news::{Charge, Charges, Hello, Purpose, ToProxy, Totals};
 use crate::routes::{Numbers, Route, Stamped, Table, Tenant, Zones};
@@ -15,7 +16,7 @@
 use crate::told::{told, Told};
 use bytes::BytesMut;
 use cherrytally::plane::backends::{Backends, Dial, Stream};
-use cherrytally::plane::deadline::Stated;
+use cherrytally::plane::deadline::{Deadline, Stated};
 use cherrytally::plane::driver::{Answer, Asked, Driver, Reach, Speech, Told as Listing, Work};
 use cherrytally::plane::http::Head;
 use cherrytally::plane::room::{Budget, Content, More, Short, Upload, HELD_MOST};
@@ -68,8 +69,12 @@
 const OF_BUDGET: f64 = 0.8;
 /// After SIGTERM clients are still taken in for so long: they go by what they were told before.
 const ACCEPT_ON: f64 = 0.45;
-/// And what is open may end within this share of the time that is granted.
+/// And what is open may end within this share of the time that is granted; what is in hand then gets its final answer.
 const ANSWERED: f64 = 0.92;
+/// By this share of it those answers are written, and the process ends.
+const WRITTEN: f64 = 0.97;
+/// Bytes that are handed to the system are on their way so long after.
+const LAST_BYTES: Duration = Duration::from_millis(100);
 /// A request is refused early if it is expected to take more than this share of its aim: an answer that is a little late
 /// still earns something, and far places take longer without a queue.
 const EARLY_OF_AIM: f64 = 1.2;
@@ -94,6 +99,18 @@
     Drains,
     /// Idle connections are closed.
     Closes,
+    /// What is in hand gets its final answer now.
+    Answers,
+}
+
+/// A request that may be sent on.
+struct Admitted {
+    route: Rc<Route>,
+    tenant: Option<Rc<Tenant>>,
+    deadline: Deadline,
+    /// Its body, as far as it is held, and what is to come of it, with the length of the whole where that is known.
+    body: BytesMut,
+    more: Option<(Rc<More>, Option<u64>)>,
 }
 
 /// A proxy.
@@ -105,7 +122,9 @@
     figures: Rc<Figures>,
     driver: Rc<Driver>,
     budget: Rc<Budget>,
+    /// One for each client's connection.
     places: Arc<Semaphore>,
+    places_most: usize,
     phase: watch::Sender<Phase>,
     busy: Cell<usize>,
     copy: RefCell<Copy>,
@@ -187,6 +206,7 @@
             figures,
             budget,
             places: Arc::new(Semaphore::new(places)),
+            places_most: places,
             phase: watch::Sender::new(Phase::Serves),
             busy: Cell::new(0),
             copy: RefCell::new(Copy::new(&settings.bounds)),
@@ -260,14 +280,38 @@
         sleep_until(now + grace.mul_f64(ACCEPT_ON)).await;
         accepting.abort();
         proxy.phase.send_replace(Phase::Closes);
-        while proxy.busy.get() > 0 && now.elapsed() < grace.mul_f64(ANSWERED) {
-            sleep(Duration::from_millis(10)).await;
+        if !proxy.ended(now + grace.mul_f64(ANSWERED)).await {
+            log::warn!("proxy: answers {} requests that are in hand at its end", proxy.busy.get());
+            proxy.answers_all();
+            if !proxy.ended(now + grace.mul_f64(WRITTEN)).await {
+                log::warn!("proxy: ends with {} connections open", proxy.open_connections());
+                invariants::check(Invariant::RequestsAreAnswered, proxy.busy.get() == 0, || {
+                    format!("{} requests are in hand at the end", proxy.busy.get())
+                });
+            }
         }
         // The last answers are on their way out.
-        sleep(Duration::from_millis(100)).await;
+        sleep(LAST_BYTES).await;
         Ok(())
     }
 
+    /// Waits until all connections have ended, and so all answers are written to their last byte. False if time is up. A
+    /// request in hand is not enough to wait for: a large answer passes on when its request is decided.
+    async fn ended(&self, by: Instant) -> bool {
+        let all = u32::try_from(self.places_most).unwrap_or(u32::MAX);
+        timeout_at(by, self.places.acquire_many(all)).await.is_ok()
+    }
+
+    fn open_connections(&self) -> usize {
+        self.places_most - self.places.available_permits()
+    }
+
+    /// Whatever is in hand gets its final answer: no request that was read ends without a word.
+    fn answers_all(&self) {
+        self.phase.send_replace(Phase::Answers);
+        self.driver.leave_all();
+    }
+
     fn now(&self) -> Millis {
         self.started.elapsed().as_secs_f64() * 1000.0
     }
@@ -590,7 +634,9 @@
         let idle = self.table.borrow().as_ref().map_or(WHOLE, |table| table.idle);
         let ahead = Ahead::new();
         let front = Front::new(stream, ahead.clone(), |parts: &Parts| self.begin(parts));
+        let asked = Cell::new(false);
         let service = service_fn(|request| {
+            asked.set(true);
             let (proxy, ahead) = (self.clone(), ahead.clone());
             async move { Ok::<_, Infallible>(proxy.reply(request, &ahead).await) }
         });
@@ -603,13 +649,15 @@
         let mut phase = self.phase.subscribe();
         let closes = async {
             // The sender lives as long as the proxy.
-            let _ = phase.wait_for(|phase| *phase == Phase::Closes).await;
+            let _ = phase.wait_for(|phase| matches!(phase, Phase::Closes | Phase::Answers)).await;
             ahead.emptied().await;
         };
         tokio::select! {
             _ = connection.as_mut() => return,
-            () = closes => connection.as_mut().graceful_shutdown(),
+            // The library would wait for a first request.
+            () = closes => if !asked.get() { return },
         }
+        connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
 
@@ -648,33 +696,46 @@
         reply
     }
 
-    async fn answer(self: &Rc<Self>, parts: Parts, body: Option<Body>, mut busy: Busy) -> Reply {
+    async fn answer(self: &Rc<Self>, parts: Parts, body: Option<Body>, busy: Busy) -> Reply {
+        let mut phase = self.phase.subscribe();
+        let ends = phase.wait_for(|phase| *phase == Phase::Answers);
+        let admitted = tokio::select! {
+            biased;
+            // The sender lives as long as the proxy.
+            _ = ends => Err(refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MS)),
+            admitted = self.admitted(&parts, body) => admitted,
+        };
+        match admitted {
+            Ok(admitted) => self.passed_on(&parts, admitted, busy).await,
+            Err(reply) => reply,
+        }
+    }
+
+    /// Finds a request's route and tenant, reads its body, and charges its tenant; its answer where it goes no further.
+    async fn admitted(self: &Rc<Self>, parts: &Parts, body: Option<Body>) -> Result<Admitted, Reply> {
         let Some(table) = self.started(&parts.headers).await else {
-            return refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MS);
+            return Err(refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MS));
         };
         if ONCE.iter().any(|name| parts.headers.get_all(*name).iter().nth(1).is_some()) {
-            return plain(StatusCode::BAD_REQUEST, "a header stands twice that may stand once\n");
+            return Err(plain(StatusCode::BAD_REQUEST, "a header stands twice that may stand once\n"));
         }
         let host = text(&parts.headers, &HOST).unwrap_or("");
         let Some(route) = table.route(host, parts.uri.path()) else {
-            return plain(StatusCode::NOT_FOUND, "no such route\n");
+            return Err(plain(StatusCode::NOT_FOUND, "no such route\n"));
         };
         let key = text(&parts.headers, &AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
         let tenant = match table.stamped(&route, key) {
             Stamped::Open => None,
             Stamped::By(tenant) => Some(tenant),
-            Stamped::Unknown => return plain(StatusCode::UNAUTHORIZED, "no such key\n"),
+            Stamped::Unknown => return Err(plain(StatusCode::UNAUTHORIZED, "no such key\n")),
         };
         if tenant.is_some() && !self.in_touch() {
             // The key may have been taken away meanwhile.
-            return refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MOST_MS);
+            return Err(refused(StatusCode::SERVICE_UNAVAILABLE, AFTER_MOST_MS));
         }
         let waits = waits(&parts.headers).min(route.timeout);
         let (body, more) = match body {
-            Some(body) => match self.body(body, table.body_bytes).await {
-                Ok(body) => body,
-                Err(reply) => return reply,
-            },
+            Some(body) => self.body(body, table.body_bytes).await?,
             None => (BytesMut::new(), None),
         };
         let deadline = Stated::remaining(waits).from(Instant::now());
@@ -682,9 +743,15 @@
             let verdict = self.admit(tenant, route.target).await;
             self.figures.charged(&verdict);
             if let Verdict::Refuse(after) = verdict {
-                return refused(StatusCode::TOO_MANY_REQUESTS, after);
+                return Err(refused(StatusCode::TOO_MANY_REQUESTS, after));
             }
         }
+        Ok(Admitted { route, tenant, deadline, body, more })
+    }
+
+    /// Has the decision module send a request, and gives its final answer.
+    async fn passed_on(self: &Rc<Self>, parts: &Parts, admitted: Admitted, mut busy: Busy) -> Reply {
+        let Admitted { route, tenant, deadline, body, more } = admitted;
         let places =
             route.places & tenant.as_ref().map_or(u64::MAX, |tenant| tenant.places) & !self.evacuated.get();
         let asked = Asked {
