Tell in the proxy's log, at trace, when a request has its turn and its answer

Need: sight for the incident LOST: which requests were passed on and never answered. No change of what is done.

--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -669,7 +669,8 @@
         if *self.phase.borrow() != Phase::Serves {
             return None;
         }
-        log::trace!("proxy: class {} begins behind another request", route.class);
+        let name = shown(parts.headers.get("request-id"));
+        log::trace!("proxy: request {name} of class {} begins behind another one", route.class);
         self.figures.begun_ahead();
         let (proxy, parts, busy) = (self.clone(), parts.clone(), Busy::new(self));
         Some(Begun::new(tokio::task::spawn_local(async move { proxy.answer(parts, None, busy).await })))
@@ -680,6 +681,9 @@
         let (parts, body) = request.into_parts();
         let busy = Busy::new(self);
         let begun = ahead.take(&parts);
+        let early = begun.is_some();
+        let name = parts.headers.get("request-id").cloned();
+        log::trace!("proxy: request {} has its turn", shown(name.as_ref()));
         let mut reply = match begun {
             Some(begun) => {
                 let failed = || plain(StatusCode::BAD_GATEWAY, "failed; it may have run\n");
@@ -692,6 +696,13 @@
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         ahead.answered();
+        log::trace!(
+            "proxy: request {} is answered with {} after {} ms{}",
+            shown(name.as_ref()),
+            reply.status().as_u16(),
+            began.elapsed().as_millis(),
+            if early { " of its turn" } else { "" }
+        );
         self.figures.answered(reply.status().as_u16(), began.elapsed());
         reply
     }
@@ -870,6 +881,11 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
+/// A request's name in the log.
+fn shown(name: Option<&HeaderValue>) -> &str {
+    name.and_then(|name| name.to_str().ok()).unwrap_or("without a name")
+}
+
 /// How long a client says that it waits.
 fn waits(headers: &HeaderMap) -> Duration {
     let waits = headers.get("deadline-ms").and_then(|value| value.to_str().ok()?.trim().parse().ok());
