Check what must hold while it runs: agreed entries, one leader a term, changes of members, the state, answers

A member refuses entries that contradict what is agreed on, and counts it; a leader checks that no change of members bears fewer losses than the list before; a member that follows nobody says why each two seconds (sight: the records could not tell a lost majority from an election that goes on). GET /api/Status, status and a proxy's metrics tell the counts. Ruled out: counting by process alone in tests, which play side by side; each thread counts for itself. Before: none was checked outside of tests.

--- a/overland/src/agreement/members.rs
+++ b/overland/src/agreement/members.rs
@@ -9,6 +9,7 @@
 
 use super::role::{Lead, Progress, Role};
 use super::{Action, Agreement, Entry, Name, BATCH};
+use crate::invariants::{self, Invariant};
 use cherrytally::Millis;
 use std::collections::BTreeMap;
 
@@ -258,6 +259,17 @@
         (next != *present).then_some(next)
     }
 
+    /// How many losses more a list bears: members that are there, stay and have a disk that counts, beyond a majority. Below
+    /// nought it has none.
+    fn bears(&self, lead: &Lead, list: &[Name], now: Millis) -> isize {
+        let sound = |name: &&Name| {
+            let known = lead.peers.get(*name).or_else(|| lead.joining.get(*name));
+            let there = known.is_some_and(|p| p.counts && !p.leaving && now - p.heard <= SUSPECT_MS);
+            there || (**name == self.me && self.vow.counts && !self.leaving)
+        };
+        list.iter().filter(sound).count() as isize - (list.len() / 2 + 1) as isize
+    }
+
     /// Members change one change at a time: what is under way goes on, and then the next begins.
     pub(super) fn change_members(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let Role::Leader(lead) = &mut self.role else { return };
@@ -273,6 +285,11 @@
             None => {
                 let Role::Leader(lead) = &self.role else { return };
                 let Some(next) = self.wanted(lead, now) else { return };
+                let (present, after) = (&self.membership.present, &next);
+                let (before, then) = (self.bears(lead, present, now), self.bears(lead, after, now));
+                invariants::check(Invariant::ChangesOfMembersWeakenNothing, then >= before, || {
+                    format!("{present:?} bears {before} losses, {after:?} bears {then}")
+                });
                 Entry::of_next_members(term, index, next)
             }
         };
--- a/overland/src/agreement/mod.rs
+++ b/overland/src/agreement/mod.rs
@@ -16,6 +16,7 @@
 pub use members::Roll;
 pub use snapshot::Sizes;
 
+use crate::invariants::{self, Invariant};
 use cherrytally::Millis;
 use letter::{Appended, Vote, VoteAsk};
 use members::Membership;
@@ -303,6 +304,24 @@
             && self.quorum(|name| lead.asked(name, &self.me, now)).is_some_and(|at| now - at < LEASE_MS)
     }
 
+    /// Why it follows nobody, in words; none where it does, or leads.
+    pub fn leaderless(&self) -> Option<String> {
+        let members = self.members().len();
+        match &self.role {
+            Role::Leader(_) | Role::Follower(Follow { leader: Some(_) }) => None,
+            _ if !self.vow.counts => {
+                Some("its disk holds nothing that counts, and no leader fills it up".into())
+            }
+            _ if !self.is_member() => Some("it is no member".into()),
+            Role::Follower(_) => Some("it was asked for its vote, or waits for a leader".into()),
+            Role::Candidate(stand) => {
+                let votes: Vec<&str> = stand.votes.iter().map(String::as_str).collect();
+                let (term, votes) = (self.vow.term + u64::from(stand.pre), votes.join(", "));
+                Some(format!("it stands for term {term} with the votes of {votes}, of {members} members"))
+            }
+        }
+    }
+
     /// The number of the last entry that was applied.
     pub fn applied(&self) -> u64 {
         self.applied
@@ -557,6 +576,7 @@
             actions.push(Action::Send { to: from, say: Say::Appended(answer) });
             return;
         }
+        self.alone_in_term(&from, append.term);
         self.follow(now, append.term, Some(from.clone()), actions);
         (self.said, self.unheard) = (append.at, append.unheard_ms);
         answer.term = self.vow.term;
@@ -583,6 +603,15 @@
         if let Some(new) = new {
             let entries = entries.split_off(new);
             let first = entries[0].index;
+            if first <= self.commit {
+                // Nothing may follow from it: what is agreed on stays.
+                let commit = self.commit;
+                let why = format!("{from} sends another entry {first} than was agreed on up to {commit}");
+                invariants::violated(Invariant::AgreedEntriesStay, &why);
+                answer.matched = commit;
+                actions.push(Action::Send { to: from, say: Say::Appended(answer) });
+                return;
+            }
             self.log.truncate((first - self.base.index - 1) as usize);
             self.log.extend(entries.iter().cloned());
             self.read_members();
@@ -600,6 +629,14 @@
         self.apply(actions);
     }
 
+    /// Whoever sends entries or a state in this term leads in it: this member does not.
+    pub(super) fn alone_in_term(&self, from: &Name, term: u64) {
+        let another = self.leads() && term == self.vow.term && *from != self.me;
+        invariants::check(Invariant::OneLeaderATerm, !another, || {
+            format!("{from} and {} lead in term {term}", self.me)
+        });
+    }
+
     fn appended(&mut self, now: Millis, from: Name, answer: &Appended, actions: &mut Vec<Action>) {
         if answer.term > self.vow.term {
             return self.follow(now, answer.term, None, actions);
--- a/overland/src/agreement/snapshot.rs
+++ b/overland/src/agreement/snapshot.rs
@@ -262,6 +262,7 @@
         if term < self.vow.term {
             return actions.push(Action::Send { to: from, say: Say::Took(answer) });
         }
+        self.alone_in_term(&from, term);
         self.follow(now, term, Some(from.clone()), actions);
         self.said = at;
         answer.term = self.vow.term;
--- a/overland/src/figures.rs
+++ b/overland/src/figures.rs
@@ -1,5 +1,6 @@
 //! Figures of a proxy, as OpenMetrics. They are only counted here; nothing is decided by them.
 
+use crate::invariants;
 use crate::tally::Verdict;
 use cherrytally::plane::driver::Ears;
 use cherrytally::{Reason, Result as Ended};
@@ -101,6 +102,11 @@
     /// All figures as OpenMetrics.
     pub fn open_metrics(&self, present: &Present) -> String {
         let mut now = Registry::with_prefix("pelion");
+        let violations = Family::<ByName, Counter>::default();
+        for (invariant, times) in invariants::violations() {
+            violations.get_or_create(&ByName { what: invariant.name() }).inc_by(times);
+        }
+        now.register("invariant_violations", "What must hold and did not", violations);
         let mut gauge = |name: &str, help: &str, value: f64| {
             let gauge = Gauge::<f64, AtomicU64>::default();
             gauge.set(value);
--- a/overland/src/invariants.rs
+++ b/overland/src/invariants.rs
@@ -2,6 +2,7 @@
 //! stops nothing: `GET /api/Status` of a core process and the metrics of a proxy tell the counts, and tests want them to be
 //! nought.
 
+use std::cell::Cell;
 use std::sync::atomic::{AtomicU64, Ordering};
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
@@ -15,6 +16,8 @@
     AgreedEntriesStay,
     /// In one term one member leads.
     OneLeaderATerm,
+    /// A change of members bears no fewer losses than the list before it did.
+    ChangesOfMembersWeakenNothing,
     /// The number of the agreed state climbs within a life of a process.
     StateClimbs,
     /// A request that was read whole ends with an answer, or for a reason that is not the proxy's.
@@ -30,8 +33,13 @@
 
 static VIOLATIONS: [AtomicU64; Invariant::COUNT] = [const { AtomicU64::new(0) }; Invariant::COUNT];
 
+thread_local! {
+    static ON_THIS_THREAD: Cell<u64> = const { Cell::new(0) };
+}
+
 /// It does not hold, and why.
 pub fn violated(invariant: Invariant, why: &str) {
+    ON_THIS_THREAD.set(ON_THIS_THREAD.get() + 1);
     VIOLATIONS[invariant as usize].fetch_add(1, Ordering::Relaxed);
     log::error!("invariant {} is violated: {why}", invariant.name());
 }
@@ -47,3 +55,13 @@
 pub fn violations() -> impl Iterator<Item = (Invariant, u64)> {
     Invariant::iter().map(|invariant| (invariant, VIOLATIONS[invariant as usize].load(Ordering::Relaxed)))
 }
+
+/// Those that were violated in this process, by name, and how often.
+pub fn violated_by_name() -> Vec<(&'static str, u64)> {
+    violations().filter(|(_, times)| *times > 0).map(|(invariant, times)| (invariant.name(), times)).collect()
+}
+
+/// How often any was violated on this thread: tests play on one thread each, and others may put faults in on purpose.
+pub fn violated_on_this_thread() -> u64 {
+    ON_THIS_THREAD.get()
+}
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::agreement::{self, Agreement, Entry, Letter, Name, Save, Saved};
 use crate::calls::{self, Called, Outcome, Refusal, Reply, Served, Serves};
+use crate::invariants::{self, Invariant};
 use crate::ledger::Mark;
 use crate::news::{Change, Charges, Forwarded, FromAgent, Kind, ToAgent, Totals, Whole, Word};
 use crate::settings::Settings;
@@ -33,6 +34,8 @@
 const HOUSE_TICKS: u32 = 20;
 /// The leader tells the digest of its copy to the others each so many ticks: a copy that differs is a fault, and rare.
 const COMPARE_TICKS: u32 = 200;
+/// A member that follows nobody says why each so many ticks: two seconds.
+const LEADERLESS_TICKS: u32 = 80;
 /// How often a member is told that time has passed, in ms.
 pub const TICK_MS: Millis = 25.0;
 /// A caller waits a second for an answer; it has one before that, in ms.
@@ -431,6 +434,11 @@
         if self.ticks.is_multiple_of(HOUSE_TICKS) {
             self.keep_house(now, out);
         }
+        if self.ticks.is_multiple_of(LEADERLESS_TICKS) {
+            if let Some(why) = self.agreement.leaderless() {
+                log::warn!("core: nobody leads: {why}");
+            }
+        }
         if self.ticks.is_multiple_of(COMPARE_TICKS) && self.leads() {
             self.compare(out);
         }
@@ -573,6 +581,10 @@
             agreement::Action::Apply(entry) => self.apply(now, &entry, out),
             agreement::Action::Restore { index, state } => match Whole::decode(&state[..]) {
                 Ok(whole) => {
+                    let former = self.state.index;
+                    invariants::check(Invariant::StateClimbs, index >= former, || {
+                        format!("the state of {index} takes the place of that of {former}")
+                    });
                     self.state = State { index, ..State::from_whole(now, whole) };
                     (self.applied, self.unread, self.whole) = (true, false, None);
                 }
--- a/overland/src/member/presence.rs
+++ b/overland/src/member/presence.rs
@@ -3,8 +3,9 @@
 
 use super::{Granted, Member, Wait};
 use crate::calls::{Answers, Beat, BeatAnswer, Done, Leave, Look, Outcome, Refusal, Resolve, Resolved};
+use crate::invariants;
 use crate::news::{Backend, Gateway, Kind};
-use crate::status::{CountLine, GatewayLine, ServiceLine, Status};
+use crate::status::{CountLine, GatewayLine, ServiceLine, Status, ViolationLine};
 use cherrytally::Millis;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -223,6 +224,8 @@
             filling: roll.filling,
             listeners: roll.listeners,
             borne: roll.borne as u64,
+            leaderless: agreement.leaderless(),
+            violations: Some(violations()),
             edition: state.config.as_ref().map_or(String::new(), |config| format!("r{}", config.edition)),
             evacuated: state.evacuated.iter().cloned().collect(),
             gateways: state.gateways.values().map(gateway).collect(),
@@ -231,3 +234,8 @@
         }
     }
 }
+
+fn violations() -> Vec<ViolationLine> {
+    let line = |(name, times): (&str, u64)| ViolationLine { invariant: name.to_owned(), times };
+    invariants::violated_by_name().into_iter().map(line).collect()
+}
--- a/overland/src/status.rs
+++ b/overland/src/status.rs
@@ -54,6 +54,10 @@
     pub filling: Vec<String>,
     /// Those that listen and take the place of a lost member, where it leads.
     pub listeners: Vec<String>,
+    /// Why it follows nobody, where nobody leads.
+    pub leaderless: Option<String>,
+    /// Invariants that were violated in this process. Earlier programs tell none.
+    pub violations: Option<Vec<ViolationLine>>,
     /// Members that may be lost now, all at once, with a majority left, where it leads.
     pub borne: u64,
     /// The configuration in force; empty before the first.
@@ -104,6 +108,15 @@
     pub berths: u64,
 }
 
+/// An invariant that was violated.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ViolationLine {
+    /// The invariant.
+    pub invariant: String,
+    /// How often.
+    pub times: u64,
+}
+
 /// A tenant's count in the present window.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CountLine {
@@ -161,6 +174,15 @@
     Ok((table(&answers, best)?, best.vouches))
 }
 
+/// What is wrong at single core processes, a line each.
+fn troubles(status: &Status) -> Vec<String> {
+    let leaderless = status.leaderless.iter().map(|why| format!("{} follows nobody: {why}", status.address));
+    let violations = status.violations.iter().flatten().map(|line| {
+        format!("{} VIOLATED {} {} times: tell the developers", status.address, line.invariant, line.times)
+    });
+    leaderless.chain(violations).collect()
+}
+
 fn table(answers: &BTreeMap<SocketAddr, Result<Status>>, best: &Status) -> Result<String> {
     let mut text = String::new();
     let edition = if best.edition.is_empty() { "none" } else { &best.edition };
@@ -200,6 +222,9 @@
             Err(e) => writeln!(text, "{address}\t\t{e}\t\t\t\t")?,
         }
     }
+    for line in answers.values().flatten().flat_map(troubles) {
+        writeln!(text, "{line}")?;
+    }
     writeln!(text, "\ngateway\tzone\tstate\tbehind\tproxy behind\theard ms\tfront")?;
     for line in &best.gateways {
         let silent = line.heard_ms.is_none_or(|ms| ms > SILENT_MS);
--- a/overland/tests/histories/mod.rs
+++ b/overland/tests/histories/mod.rs
@@ -5,7 +5,7 @@
 #[path = "../kept/mod.rs"]
 mod kept;
 
-use kept::keep;
+use kept::{keep, Watched};
 use overland::agreement::{Action, Agreement, Entry, Event, Saved, Say, Sizes};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -116,6 +116,7 @@
     troubled: bool,
     /// Things that have happened.
     pub events: u64,
+    watched: Watched,
 }
 
 fn name(number: usize) -> String {
@@ -152,6 +153,7 @@
             nervous,
             troubled: false,
             events: 0,
+            watched: Watched::begin(),
         }
     }
 
@@ -347,6 +349,7 @@
                 }
             }
         }
+        self.watched.holds();
     }
 
     /// A machine is lost for good.
--- a/overland/tests/kept/mod.rs
+++ b/overland/tests/kept/mod.rs
@@ -1,6 +1,7 @@
 //! What a disk holds after a save, as both kinds of drawn histories keep it.
 
 use overland::agreement::{Save, Saved};
+use overland::invariants::violated_on_this_thread;
 
 /// A save is put to what the disk had.
 pub fn keep(disk: &mut Option<Saved>, save: Save) {
@@ -16,3 +17,22 @@
         disk.entries.extend(entries);
     }
 }
+
+/// What was violated before a history began.
+pub struct Watched(u64);
+
+impl Watched {
+    pub fn begin() -> Self {
+        Watched(violated_on_this_thread())
+    }
+
+    /// Nothing was violated since.
+    pub fn holds(&self) {
+        let Watched(before) = self;
+        assert_eq!(
+            violated_on_this_thread(),
+            *before,
+            "an invariant is violated; its line stands in the log"
+        );
+    }
+}
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -15,7 +15,7 @@
 
 use callers::Callers;
 use judge::Judge;
-use kept::keep;
+use kept::{keep, Watched};
 use overland::agreement::{Entry, Save, Saved, Say};
 use overland::calls::Reply;
 use overland::copy::Copy;
@@ -268,6 +268,7 @@
     busy: BTreeMap<(usize, usize), f64>,
     /// Part of the states and their pieces in which a byte is another when they arrive.
     pub damage: f64,
+    watched: Watched,
     /// A mutant of the snapshots.
     pub snapshot_mutant: Option<SnapshotMutant>,
     /// Pieces that were sent, and states that were put in place.
@@ -401,6 +402,7 @@
             well: Vec::new(),
             settled: 0.0,
             mutant: None,
+            watched: Watched::begin(),
             later: 0,
             judge: Judge::default(),
             seeds: (0..founders.min(3)).map(core_address).collect(),
@@ -459,6 +461,7 @@
             self.happen(due.what);
         }
         self.now = until;
+        self.watched.holds();
     }
 
     /// A call is answered so, whoever is asked.
