--- a/overland/src/agent.rs
+++ b/overland/src/agent.rs
@@ -45,6 +45,9 @@
     due: Notify,
 }
 
+/// By this share of the time that is granted an agent has ended, and so has its proxy.
+pub const ENDED: f64 = 0.97;
+
 impl Agent {
     /// Runs an agent until it is told to end, and its proxy has ended.
     pub async fn run(settings: Settings, mut watch: Watch) -> Result<()> {
@@ -73,7 +76,7 @@
         term.recv().await;
         log::info!("agent: told to end");
         // The proxy answers what it has taken in; until then it is fed.
-        let end = Instant::now() + grace.mul_f64(0.9);
+        let end = Instant::now() + grace.mul_f64(ENDED);
         while agent.follow.borrow().feeds() && Instant::now() < end {
             sleep(Duration::from_millis(50)).await;
         }
@@ -132,7 +135,7 @@
 
     async fn keep_link(self: Rc<Self>, core: String) {
         let Ok(address) = core.parse::<SocketAddr>() else { return };
-        let addr = SocketAddr::new(address.ip(), self.settings.inner_ports.0);
+        let addr = self.settings.inner_at(address.ip());
         while self.follow.borrow_mut().wants(self.now(), &core) {
             if let Ok(stream) = link::connect(addr).await {
                 // However it ends: it is tried again.
--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -213,7 +213,7 @@
     /// Where the inner port of a core process is, by its name.
     fn inner(&self, name: &str) -> Option<SocketAddr> {
         let address: SocketAddr = name.parse().ok()?;
-        Some(SocketAddr::new(address.ip(), self.settings.inner_ports.0))
+        Some(self.settings.inner_at(address.ip()))
     }
 
     fn tell(self: &Rc<Self>, to: &Name, word: CoreWord) {
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -1,6 +1,6 @@
 //! The proxy: takes clients' requests, charges their tenants, and has the decision module send them.
 
-use crate::agent::feed;
+use crate::agent::{self, feed};
 use crate::ahead::{Ahead, Begun, Front};
 use crate::charging::Pending;
 use crate::copy::{Copy, Taken};
@@ -71,8 +71,6 @@
 const ACCEPT_ON: f64 = 0.45;
 /// And what is open may end within this share of the time that is granted; what is in hand then gets its final answer.
 const ANSWERED: f64 = 0.92;
-/// By this share of it those answers are written, and the process ends.
-const WRITTEN: f64 = 0.97;
 /// Bytes that are handed to the system are on their way so long after.
 const LAST_BYTES: Duration = Duration::from_millis(100);
 /// A request is refused early if it is expected to take more than this share of its aim: an answer that is a little late
@@ -283,7 +281,7 @@
         if !proxy.ended(now + grace.mul_f64(ANSWERED)).await {
             log::warn!("proxy: answers {} requests that are in hand at its end", proxy.busy.get());
             proxy.answers_all();
-            if !proxy.ended(now + grace.mul_f64(WRITTEN)).await {
+            if !proxy.ended(now + grace.mul_f64(agent::ENDED)).await {
                 log::warn!("proxy: ends with {} connections open", proxy.open_connections());
                 invariants::check(Invariant::RequestsAreAnswered, proxy.busy.get() == 0, || {
                     format!("{} requests are in hand at the end", proxy.busy.get())
@@ -511,7 +509,7 @@
         loop {
             let at = *counter.borrow_and_update();
             let stream = match at {
-                Some(at) => link::connect(at).await.ok(),
+                Some(at) => link::connect(self.settings.through(at)).await.ok(),
                 None => None,
             };
             match stream {
--- a/overland/src/settings.rs
+++ b/overland/src/settings.rs
@@ -47,6 +47,8 @@
     pub inner_ports: (u16, u16),
     /// Control addresses of up to three core machines.
     pub seeds: Vec<SocketAddr>,
+    /// Inner addresses that are reached from here at another one: behind a relay or a translation of addresses.
+    pub relays: BTreeMap<SocketAddr, SocketAddr>,
     /// The region of each zone.
     pub zones: BTreeMap<String, String>,
     /// How often a backend calls.
@@ -129,6 +131,7 @@
     docks_at: DocksAt,
     inner_ports: Vec<u64>,
     seeds: Vec<String>,
+    relays: Option<BTreeMap<String, String>>,
     zones: BTreeMap<String, String>,
 }
 
@@ -225,6 +228,16 @@
         Self::read(&text).wrap_err_with(|| path.display().to_string())
     }
 
+    /// Where another process's inner port is reached from here, by its machine's address.
+    pub fn inner_at(&self, ip: IpAddr) -> SocketAddr {
+        self.through(SocketAddr::new(ip, self.inner_ports.0))
+    }
+
+    /// Where an inner address is reached from here.
+    pub fn through(&self, inner: SocketAddr) -> SocketAddr {
+        self.relays.get(&inner).copied().unwrap_or(inner)
+    }
+
     /// Reads a settings file's text.
     pub fn read(text: &str) -> Result<Self> {
         let yaml = YamlLoader::load_from_str(text).wrap_err("no YAML")?;
@@ -324,6 +337,11 @@
         let control = at("network.docks_at.control", control);
         let directory = at("network.docks_at.directory", directory);
         let seeds: Vec<_> = network.seeds.into_iter().map(|seed| at("network.seeds", Some(seed))).collect();
+        let relays = network.relays.unwrap_or_default();
+        let relays = relays
+            .into_iter()
+            .filter_map(|(of, to)| at("network.relays", Some(of)).zip(at("network.relays", Some(to))))
+            .collect();
         let port = |at: usize| network.inner_ports.get(at).and_then(|port| u16::try_from(*port).ok());
         let inner_ports = port(0).zip(port(1)).filter(|(first, last)| first < last);
         if inner_ports.is_none() {
@@ -369,6 +387,7 @@
                 directory,
                 inner_ports,
                 seeds: seeds.into_iter().flatten().collect(),
+                relays,
                 zones: network.zones,
                 beat,
                 bounds,
--- a/overland/tests/processes/mod.rs
+++ b/overland/tests/processes/mod.rs
@@ -1,6 +1,7 @@
 //! Real processes of the system on loopback, and the backends, operators and clients round them.
 #![allow(dead_code)] // Each test program takes what it needs of it.
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -145,6 +146,11 @@
     pub folder: tempfile::TempDir,
     pub inner: u16,
     pub seeds: Vec<String>,
+    /// Inner addresses that a node reaches through relays, by its name.
+    pub relays: BTreeMap<String, Vec<(SocketAddr, SocketAddr)>>,
+    /// First inner ports of nodes that have another one than the rest, by their names: two gateways share an address for
+    /// what an agent tells its proxy.
+    pub inners: BTreeMap<String, u16>,
 }
 
 /// A gateway's agent and proxy, and where clients arrive and readiness is told.
@@ -167,7 +173,13 @@
     pub fn new(cores: usize) -> Self {
         let ips = (2..2 + cores).map(|n| format!("127.0.0.{n}"));
         let seeds = ips.map(|ip| format!("{ip}:{}", port(&ip))).collect();
-        Fleet { folder: tempfile::tempdir().expect("a folder"), inner: inner_ports(), seeds }
+        Fleet {
+            folder: tempfile::tempdir().expect("a folder"),
+            inner: inner_ports(),
+            seeds,
+            relays: BTreeMap::new(),
+            inners: BTreeMap::new(),
+        }
     }
 
     /// A gateway at this address, once it is ready.
@@ -188,15 +200,23 @@
         for seed in &self.seeds {
             let _ = writeln!(seeds, "    - \"{seed}\"");
         }
+        let inner = self.inners.get(name).copied().unwrap_or(self.inner);
+        let mut relays = String::new();
+        if let Some(pairs) = self.relays.get(name) {
+            relays.push_str("  relays:\n");
+            for (of, to) in pairs {
+                let _ = writeln!(relays, "    \"{of}\": \"{to}\"");
+            }
+        }
         let text = format!(
             "sender:\n  node: \"{name}\"\n  role: \"any\"\n  machine_class: \"{class}\"\n  ip: \"{ip}\"\n  zone: \"a\"\n  \
              region: \"r\"\n  first_start: {first}\n  data_dir: \"{}\"\n  limits:\n    memory_mb: 256\n    fds: 1000\n\
-             network:\n  docks_at:\n{docks}  inner_ports:\n    - {}\n    - {}\n  seeds:\n{seeds}  zones:\n    a: \"r\"\n\
+             network:\n  docks_at:\n{docks}  inner_ports:\n    - {}\n    - {}\n  seeds:\n{seeds}{relays}  zones:\n    a: \"r\"\n\
              carrier:\n  beat: \"1500ms\"\ntariffs:\n  bounds:\n    ack: \"8000ms\"\n    grace: \"6s\"\n    closed: true\n    \
              revoke: \"5000ms\"\n    quota_slack: 20\n    ttl_max: \"5s\"\n",
             data.display(),
-            self.inner,
-            self.inner + 1,
+            inner,
+            inner + 1,
         );
         let file = self.folder.path().join(format!("{name}.yaml"));
         std::fs::write(&file, text).expect("a file");
@@ -204,12 +224,13 @@
     }
 
     pub fn core(&self, number: usize, first: bool) -> Process {
+        start(env!("CARGO_BIN_EXE_narcissus"), &self.core_settings(number, first))
+    }
+
+    pub fn core_settings(&self, number: usize, first: bool) -> PathBuf {
         let (ip, seed) = (format!("127.0.0.{}", number + 2), &self.seeds[number]);
         let docks = format!("    control: \"{seed}\"\n");
-        start(
-            env!("CARGO_BIN_EXE_narcissus"),
-            &self.settings(&format!("core{number}"), &ip, "sorting", &docks, first),
-        )
+        self.settings(&format!("core{number}"), &ip, "sorting", &docks, first)
     }
 }
 
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -330,6 +330,7 @@
         directory: None,
         inner_ports: (7000, 7010),
         seeds,
+        relays: BTreeMap::new(),
         zones: BTreeMap::from([("z1".into(), "r".into()), ("z2".into(), "r".into())]),
         beat: Duration::from_millis(1500),
         bounds: bounds(),
