--- a/overland/tests/replacement.rs
+++ b/overland/tests/replacement.rs
@@ -265,3 +265,32 @@
         assert_eq!(end(&mut w, (core + 2) % 3), None);
     }
 }
+
+/// The incident LOST: one of three is gone for good and another takes its place; `catch_up` later one member is kept from
+/// what the others agree on, and then all lose power and one its disk. The two others lead on.
+#[test]
+fn a_closing_fault_after_a_replacement_is_borne() {
+    let histories = std::env::var("HISTORIES").ok().and_then(|text| text.parse().ok()).unwrap_or(24);
+    for seed in 0..histories {
+        let mut w = World::new(seed, 3, 1, 2, 3, 2);
+        w.begin();
+        w.pass(8000.0);
+        let (core, pause) = (pick(&mut w), 200.0 + w.rng.f64() * 1800.0);
+        lose(&mut w, core);
+        rest(&mut w, pause);
+        start_new(&mut w, 3);
+        calm(&mut w);
+        let up = running(&w);
+        let (behind, wiped) = (any(&mut w, &up), any(&mut w, &up));
+        w.cut_off(Place::Core(behind), (0..4).map(Place::Core));
+        let held_back = w.rng.f64() * 400.0;
+        rest(&mut w, held_back);
+        w.cuts.clear();
+        up.iter().for_each(|core| w.kill_core(*core));
+        w.cores[wiped].disk = None;
+        rest(&mut w, 1000.0);
+        up.iter().for_each(|core| w.start_core(*core, false));
+        is_led(&mut w);
+        w.settle(14_000.0);
+    }
+}
