--- a/overland/src/agent.rs
+++ b/overland/src/agent.rs
@@ -46,7 +46,7 @@
 }
 
 /// By this share of the time that is granted an agent has ended, and so has its proxy.
-pub const ENDED: f64 = 0.97;
+pub const ENDED: f64 = 0.95;
 
 impl Agent {
     /// Runs an agent until it is told to end, and its proxy has ended.
--- a/overland/src/store/mark.rs
+++ b/overland/src/store/mark.rs
@@ -14,8 +14,8 @@
     File::open(folder)?.sync_all()
 }
 
-/// The number of the last save, beside the store. It is brought to disk with its first number only: after a loss of power
-/// it may be older than the store, never newer, and a folder without one holds no store that was ever confirmed.
+/// The number of the last save, beside the store. It is brought to disk with the first save of a start only: after a loss of
+/// power it may be older than the store, never newer.
 pub(super) struct Mark {
     file: File,
     folder: PathBuf,
--- a/overland/src/store/mod.rs
+++ b/overland/src/store/mod.rs
@@ -18,7 +18,7 @@
 use crate::invariants::{self, Invariant};
 use crate::state::hasher;
 use eyre::{bail, Result, WrapErr};
-use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
+use fjall::{Database, JournalRecoveryError, Keyspace, KeyspaceCreateOptions, PersistMode};
 use mark::Mark;
 use prost::Message;
 use std::cell::Cell;
@@ -174,8 +174,8 @@
 }
 
 impl Store {
-    /// Opens the store in a folder, and reads what it holds: nothing where nothing was ever brought to disk, and the vow of a
-    /// process that counts for nothing where what was there is damaged. The damaged store is set aside beside the new one.
+    /// Opens the store in a folder, and reads what it holds: nothing where the disk is empty, and the vow of a process that
+    /// counts for nothing where it was damaged. The damaged store is set aside beside the new one.
     ///
     /// # Errors
     ///
@@ -202,25 +202,11 @@
             Ok((_, Read::Nothing)) => "it is empty, and was not".to_owned(),
             Ok((_, Read::Damaged(why))) | Err(why) => why,
         };
-        if !held {
-            log::warn!("store: it was being made when power went: {why}: it is made anew");
-            return Self::make_anew(&path, folder);
-        }
         invariants::violated(Invariant::DiskHoldsWhatWasSaved, &why);
         log::error!("store: the disk is damaged: {why}: it is set aside and filled up from the others");
         Self::begin_anew(&path, &aside, folder, marked.unwrap_or(0))
     }
 
-    /// Makes a store again of which nothing was ever confirmed.
-    fn make_anew(path: &Path, folder: &Path) -> Result<(Self, Option<Saved>)> {
-        if path.exists() {
-            fs::remove_dir_all(path)?;
-        }
-        mark::sync_folder(folder)?;
-        let (store, _) = Self::open_at(path, folder)?.map_err(|why| eyre::eyre!("a new store: {why}"))?;
-        Ok((store, None))
-    }
-
     /// Sets a damaged store aside and begins one that counts for nothing. Its saves are counted on from those of the damaged
     /// one: behind a loss of power the mark may be that one's again.
     fn begin_anew(path: &Path, aside: &Path, folder: &Path, marked: u64) -> Result<(Self, Option<Saved>)> {
@@ -303,7 +289,11 @@
         match catch_unwind(AssertUnwindSafe(open)) {
             Ok(Ok((database, keys))) => Opened::Files(database, keys),
             Ok(Err(error)) if passes(&error) => Opened::Passes(error),
-            Ok(Err(fjall::Error::JournalRecovery(error))) => Opened::Torn(error.to_string()),
+            Ok(Err(fjall::Error::JournalRecovery(error)))
+                if error != JournalRecoveryError::InvalidFileName =>
+            {
+                Opened::Torn(error.to_string())
+            }
             Ok(Err(error)) => Opened::Damaged(error.to_string()),
             Err(_) => Opened::Damaged("its files can't be read".to_owned()),
         }
