Tests: inner ports of real processes are drawn outside the range of outgoing connections

Cause: an agent's feed is at 127.0.0.1, from which the tests' own connections go out; a process that starts again could find its port taken by one of them and end by itself. Ruled out: ports of other loopback addresses, from which nothing goes out.

--- a/overland/tests/processes/mod.rs
+++ b/overland/tests/processes/mod.rs
@@ -29,14 +29,13 @@
     assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
 }
 
-/// Two ports in a row that the system finds free, on every address that the test uses.
+/// Two free ports in a row, out of the range from which connections are given theirs: a process that starts again finds
+/// them free again.
 pub fn inner_ports() -> u16 {
+    let free = |port: u16| TcpListener::bind(("127.0.0.1", port)).is_ok();
     (0..100)
-        .find_map(|_| {
-            let first = TcpListener::bind("127.0.0.1:0").ok()?.local_addr().ok()?.port();
-            let next = first.checked_add(1)?;
-            TcpListener::bind(("127.0.0.1", next)).ok().map(|_| first)
-        })
+        .map(|_| fastrand::u16(10_000..30_000))
+        .find(|first| free(*first) && free(*first + 1))
         .expect("two free ports")
 }
 
