Read a disk that was not filled yet as what it is, and let a lost disk be filled before the soak goes on

The soak brought it about by its own haste: it took the loss of a disk for over while who leads had not heard of it yet. Ruled out: damage; a store whose word counts and that holds no state is refused as before. Change: no state and a word that does not count is a member that was never filled; the soak waits 2 s and until nobody is being filled.

--- a/overland/src/store/mod.rs
+++ b/overland/src/store/mod.rs
@@ -313,6 +313,8 @@
         let VowForm { term, vote, counts, form, last, saves } = opened(&vow)?;
         let base = match self.keys.get(BASE)? {
             Some(base) => opened(&base)?,
+            // A member with an empty disk keeps the terms that it hears of before it is sent a state.
+            None if !counts => BaseForm::default(),
             None => bail!("it holds no state"),
         };
         let BaseForm { index, term: base_term, members, state } = base;
--- a/overland/tests/soak.rs
+++ b/overland/tests/soak.rs
@@ -22,6 +22,8 @@
 const GATEWAYS: usize = 2;
 /// Troubles at a time.
 const OVERLAP: usize = 3;
+/// Who leads knows by then that a disk is empty: it leaves nobody out whom it heard 1.5 s ago.
+const HEARD: Duration = Duration::from_secs(2);
 /// After the last trouble all is as it was within this.
 const RECOVERS: Duration = Duration::from_secs(15);
 
@@ -118,6 +120,8 @@
     proxies: Vec<Node>,
     fronts: Vec<String>,
     readies: Vec<String>,
+    /// When the machine that lost its disk last was started again, until the others have filled it up.
+    wiped: Option<Instant>,
     /// Links by the machines at their ends.
     links: Vec<(usize, usize, Arc<Cut>)>,
 }
@@ -158,7 +162,7 @@
             fronts.push(front);
             readies.push(ready);
         }
-        System { fleet, cores, agents, proxies, fronts, readies, links }
+        System { fleet, cores, agents, proxies, fronts, readies, wiped: None, links }
     }
 
     /// Cuts what a machine says to core machines, and what it hears of them, or ends that.
@@ -214,7 +218,12 @@
             Trouble::CutCore(n, says, hears) => self.cut(n, says, hears, false),
             Trouble::WipeCore(n) => {
                 self.cores[n].start();
-                return self.bears_a_loss();
+                // Before that who leads may not have heard that the disk is empty.
+                let started = *self.wiped.get_or_insert_with(Instant::now);
+                if started.elapsed() < HEARD || !self.bears_a_loss() {
+                    return false;
+                }
+                self.wiped = None;
             }
             Trouble::KillAgent(n) => self.agents[n].start(),
             Trouble::KillProxy(n) => self.proxies[n].start(),
@@ -238,7 +247,11 @@
     fn bears_a_loss(&self) -> bool {
         let told = |core: &String| call(core, "GET", "/api/Status", "", "").map(|answer| answer.body);
         let mut statuses = self.fleet.seeds.iter().filter_map(told);
-        statuses.any(|text| text.contains("\"vouches\":true") && text.contains("\"borne\":1"))
+        statuses.any(|text| {
+            text.contains("\"vouches\":true")
+                && text.contains("\"borne\":1")
+                && text.contains("\"filling\":[]")
+        })
     }
 
     /// Names of processes that ended though nothing happened to them.
--- a/overland/tests/store.rs
+++ b/overland/tests/store.rs
@@ -2,6 +2,7 @@
 //! was saved last.
 
 use overland::agreement::{Base, Entry, Save, Saved, Vow};
+use overland::invariants::violated_on_this_thread;
 use overland::store::{Pace, Store};
 use prost::Message;
 use std::fs;
@@ -280,6 +281,22 @@
     }
 }
 
+/// A member with an empty disk hears of a term, and ends before it is sent a state: nothing is damaged.
+#[test]
+fn a_disk_that_was_not_filled_yet_is_not_damaged() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (store, held) = Store::open(folder.path()).expect("an empty disk");
+    assert_eq!(held, None);
+    let vow = Vow { term: 7, vote: None, counts: false };
+    store.save(&Save { vow: vow.clone(), entries: None, base: None }).expect("it is saved");
+    drop(store);
+    let before = violated_on_this_thread();
+    let (_, held) = Store::open(folder.path()).expect("it starts");
+    assert_eq!(held, Some(Saved { vow, ..Saved::default() }));
+    assert_eq!(violated_on_this_thread(), before);
+    assert!(!folder.path().join("core.damaged").exists(), "it was set aside");
+}
+
 /// The mark's writes are not brought to disk by themselves: behind a loss of power it may be the one of the store that was
 /// set aside.
 #[test]
