--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -1,12 +1,13 @@
 //! The sockets, the clock and the disk of a core process. What it decides is [`Member`]'s.
 
-use crate::agreement::Name;
+use crate::agreement::{Name, Save};
 use crate::calls::{Refusal, Reply};
 use crate::link::{self, framed, Incoming, Outgoing, AGENT_MOST, CHARGES_MOST, HELLO_MOST, MOST};
 use crate::member::{Action, Event, Member, TICK_MS, WRITTEN_MS};
 use crate::news::{Charges, CoreWord, FromAgent, Hello, Purpose, Word};
 use crate::settings::{Settings, Watch};
-use crate::store::Store;
+use crate::status::Status;
+use crate::store::{takes_nothing, Disk, Folder, Saves};
 use cherrytally::Millis;
 use eyre::{eyre, Result, WrapErr};
 use http_body_util::{BodyExt, Full, Limited};
@@ -16,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use miniserde::json;
 use prost::Message;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -30,6 +32,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
 
+/// Between two tries of a disk that takes nothing.
+const DISK_AGAIN: Duration = Duration::from_millis(500);
 /// Largest body of a call.
 const BODY_MOST: usize = 16 << 20;
 /// Time for a caller to send its head.
@@ -53,13 +57,27 @@
     told: Instant,
 }
 
+/// What a core process needs to take its part.
+struct Running {
+    member: Member,
+    store: Box<dyn Saves>,
+}
+
+/// Whether a core process takes its part.
+enum Duty {
+    /// It does.
+    Takes(Box<Running>),
+    /// Its disk takes nothing, and why. It promises nothing, and begins anew from its disk as soon as there is room.
+    WaitsForDisk(String),
+}
+
 /// A core process.
 pub struct Control {
     settings: Settings,
     me: Name,
     started: Instant,
-    store: Store,
-    member: RefCell<Member>,
+    disk: Box<dyn Disk>,
+    duty: RefCell<Duty>,
     /// Links to agents and proxies by number.
     links: RefCell<BTreeMap<u64, Outgoing>>,
     /// Calls in hand by number.
@@ -70,6 +88,8 @@
     /// Those that are open.
     open: Cell<usize>,
     next: Cell<u64>,
+    /// The seeds, where others than at the start are named.
+    seeds: RefCell<Option<Vec<SocketAddr>>>,
     /// It has ended: what is dropped after that tells nobody.
     ended: Cell<bool>,
 }
@@ -77,28 +97,33 @@
 impl Control {
     /// Runs a core process until it is told to end.
     pub async fn run(settings: Settings, mut watch: Watch) -> Result<()> {
-        let address = settings.control.ok_or_else(|| eyre!("network.docks_at.control is missing"))?;
         let folder = settings.data_dir.clone().ok_or_else(|| eyre!("sender.data_dir is missing"))?;
+        let seeds = async move || watch.changed().await.seeds;
+        Self::run_on(settings, Box::new(Folder(folder)), seeds).await
+    }
+
+    /// The same on this disk, with the seeds that `changed` tells whenever others are named.
+    pub async fn run_on(
+        settings: Settings, disk: Box<dyn Disk>, mut changed: impl AsyncFnMut() -> Vec<SocketAddr> + 'static,
+    ) -> Result<()> {
+        let address = settings.control.ok_or_else(|| eyre!("network.docks_at.control is missing"))?;
         let mut term = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
-        let (store, disk) = Store::open(&folder)?;
-        let (member, first) = Member::start(settings.clone(), disk, fastrand::u64(..), 0.0)?;
-        if let Some(first) = first {
-            store.save(&first)?;
-        }
         let control = Rc::new(Control {
-            me: member.name().clone(),
+            me: address.to_string(),
+            duty: RefCell::new(Duty::WaitsForDisk("it was not opened yet".to_owned())),
+            disk,
             settings,
             started: Instant::now(),
-            store,
-            member: RefCell::new(member),
             links: RefCell::default(),
             calls: RefCell::default(),
             peers: RefCell::default(),
             garbage: Cell::new(0),
             open: Cell::new(0),
             next: Cell::new(0),
+            seeds: RefCell::default(),
             ended: Cell::new(false),
         });
+        control.begin()?;
         let inner = SocketAddr::new(control.settings.ip, control.settings.inner_ports.0);
         let inner = TcpListener::bind(inner).await.wrap_err("inner port")?;
         tokio::task::spawn_local(control.clone().take_links(inner));
@@ -111,7 +136,9 @@
         let learning = control.clone();
         tokio::task::spawn_local(async move {
             loop {
-                learning.step(Event::Seeds(watch.changed().await.seeds));
+                let seeds = changed().await;
+                learning.seeds.replace(Some(seeds.clone()));
+                learning.step(Event::Seeds(seeds));
             }
         });
         let ticking = control.clone();
@@ -125,10 +152,10 @@
         log::info!("core: told to end");
         control.step(Event::End);
         let (since, most) = (Instant::now(), control.settings.bounds.grace.mul_f64(LEAVE));
-        while control.member.borrow().left().is_none() && since.elapsed() < most {
+        while control.left().is_none() && since.elapsed() < most {
             sleep(Duration::from_secs_f64(TICK_MS / 1000.0)).await;
         }
-        match control.member.borrow().left() {
+        match control.left() {
             Some(true) => log::info!("core: ends, and is no member any more"),
             Some(false) => {
                 log::info!("core: ends as a member: the others hold all, and none could take its place")
@@ -141,6 +168,98 @@
         Ok(())
     }
 
+    /// Takes its part from what the disk holds, or waits until the disk takes what is written.
+    ///
+    /// # Errors
+    ///
+    /// The disk can't be used at all.
+    fn begin(self: &Rc<Self>) -> Result<()> {
+        match self.start() {
+            Ok(running) => {
+                *self.duty.borrow_mut() = Duty::Takes(Box::new(running));
+                Ok(())
+            }
+            Err(error) if takes_nothing(&error) => {
+                self.wait_for_disk(&error);
+                Ok(())
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    fn start(&self) -> Result<Running> {
+        let (store, saved) = self.disk.open()?;
+        let mut settings = self.settings.clone();
+        if let Some(seeds) = &*self.seeds.borrow() {
+            settings.seeds.clone_from(seeds);
+        }
+        let (member, first) = Member::start(settings, saved, fastrand::u64(..), self.now())?;
+        if let Some(first) = first {
+            store.save(&first)?;
+        }
+        Ok(Running { member, store })
+    }
+
+    /// Gives up its part, and all that it has in hand, and begins anew as soon as the disk takes what is written: what it holds
+    /// in memory may be more than what is on disk.
+    fn wait_for_disk(self: &Rc<Self>, error: &eyre::Report) {
+        let why = format!("the disk takes nothing: {error:#}");
+        if !matches!(&*self.duty.borrow(), Duty::WaitsForDisk(known) if *known == why) {
+            log::error!("core: {why}; it takes no part until it does");
+        }
+        *self.duty.borrow_mut() = Duty::WaitsForDisk(why);
+        // Agents and other core processes come again; until then nobody takes this one for more than a silent one.
+        self.links.borrow_mut().clear();
+        let now = self.now();
+        for (_, caller) in std::mem::take(&mut *self.calls.borrow_mut()) {
+            // A caller that broke off is its own affair.
+            let _ = caller.send((now, Refusal::Later.reply()));
+        }
+        let waiting = self.clone();
+        tokio::task::spawn_local(async move {
+            sleep(DISK_AGAIN).await;
+            if let Err(error) = waiting.begin() {
+                log::error!("core: {error:#}");
+                std::process::exit(1);
+            }
+            if matches!(&*waiting.duty.borrow(), Duty::Takes(_)) {
+                log::info!("core: the disk takes what is written again");
+            }
+        });
+    }
+
+    /// Whether it may end, where it was told to: see [`Member::left`].
+    fn left(&self) -> Option<bool> {
+        match &*self.duty.borrow() {
+            Duty::Takes(running) => running.member.left(),
+            Duty::WaitsForDisk(_) => None,
+        }
+    }
+
+    /// Whether a link to this core process is kept: see [`Member::keeps`].
+    fn keeps(&self, name: &str) -> bool {
+        match &*self.duty.borrow() {
+            Duty::Takes(running) => running.member.keeps(name),
+            Duty::WaitsForDisk(_) => true,
+        }
+    }
+
+    /// The answer of a process that takes no part: why, to who asks for its status, and to all others that another is to be
+    /// asked.
+    fn aside(&self, path: &str) -> Option<Reply> {
+        let Duty::WaitsForDisk(why) = &*self.duty.borrow() else { return None };
+        if path != "/api/Status" {
+            return Some(Refusal::Later.reply());
+        }
+        let status = Status {
+            address: self.me.clone(),
+            node: self.settings.node.clone(),
+            leaderless: Some(why.clone()),
+            ..Status::default()
+        };
+        Some(Reply { status: 200, body: json::to_string(&status), after_ms: None })
+    }
+
     fn now(&self) -> Millis {
         self.started.elapsed().as_secs_f64() * 1000.0
     }
@@ -155,24 +274,24 @@
         while let Some(event) = next.take() {
             let mut actions = Vec::new();
             let decided = self.now();
-            self.member.borrow_mut().handle(decided, event, &mut actions);
+            match &mut *self.duty.borrow_mut() {
+                Duty::Takes(running) => running.member.handle(decided, event, &mut actions),
+                Duty::WaitsForDisk(_) => return,
+            }
             for action in actions {
-                next = self.act(action.fenced(decided, self.now())).or(next);
+                match self.act(action.fenced(decided, self.now())) {
+                    Ok(event) => next = event.or(next),
+                    Err(error) => return self.wait_for_disk(&error),
+                }
             }
         }
     }
 
-    fn act(self: &Rc<Self>, action: Action) -> Option<Event> {
+    /// Carries out one action. An error where the disk takes nothing: what is not on disk was promised to nobody yet, and what
+    /// follows would promise it.
+    fn act(self: &Rc<Self>, action: Action) -> Result<Option<Event>> {
         match action {
-            Action::Save(save) => {
-                let start = Instant::now();
-                if let Err(e) = self.store.save(&save) {
-                    // What is not on disk was promised to nobody yet; what follows would promise it.
-                    log::error!("core: the disk takes nothing: {e}");
-                    std::process::exit(1);
-                }
-                return Some(Event::Saved { took_ms: start.elapsed().as_secs_f64() * 1000.0 });
-            }
+            Action::Save(save) => return self.save(&save),
             Action::Tell { to, word } => {
                 self.tell(&to, CoreWord { from: self.me.clone(), word: Some(*word) });
             }
@@ -193,7 +312,21 @@
                 std::process::exit(1);
             }
         }
-        None
+        Ok(None)
+    }
+
+    fn save(&self, save: &Save) -> Result<Option<Event>> {
+        let duty = self.duty.borrow();
+        let Duty::Takes(running) = &*duty else { return Ok(None) };
+        let start = Instant::now();
+        match running.store.save(save) {
+            Ok(()) => Ok(Some(Event::Saved { took_ms: start.elapsed().as_secs_f64() * 1000.0 })),
+            Err(error) if takes_nothing(&error) => Err(error),
+            Err(error) => {
+                log::error!("core: the disk is broken: {error:#}");
+                std::process::exit(1);
+            }
+        }
     }
 
     /// What finds no room ends its link: the other side comes again.
@@ -229,8 +362,7 @@
                 let Some(addr) = self.inner(to) else { return };
                 if peers.len() >= PEERS_MOST {
                     // Their links end with their ways out.
-                    let member = self.member.borrow();
-                    peers.retain(|name, peer| member.keeps(name) || peer.told.elapsed() < LET_GO);
+                    peers.retain(|name, peer| self.keeps(name) || peer.told.elapsed() < LET_GO);
                 }
                 if peers.len() >= PEERS_MOST {
                     return;
@@ -250,7 +382,7 @@
                 Ok(stream) => link::write(stream.into_split().1, from).await,
                 Err(_) => sleep(AGAIN).await,
             }
-            let keeps = self.member.borrow().keeps(&to);
+            let keeps = self.keeps(&to);
             let mut peers = self.peers.borrow_mut();
             let Some(peer) = peers.get_mut(&to) else { return };
             if !keeps && peer.told.elapsed() > LET_GO {
@@ -275,6 +407,9 @@
     }
 
     async fn link(self: Rc<Self>, stream: TcpStream) {
+        if matches!(&*self.duty.borrow(), Duty::WaitsForDisk(_)) {
+            return;
+        }
         link::prepare(&stream);
         let (read, write) = stream.into_split();
         let (out, from) = Outgoing::new();
@@ -363,6 +498,9 @@
 
     /// Has the member answer a call.
     async fn answer(self: &Rc<Self>, method: &str, path: &str, body: Vec<u8>) -> Reply {
+        if let Some(reply) = self.aside(path) {
+            return reply;
+        }
         let call = self.number();
         let (to, answer) = oneshot::channel();
         self.calls.borrow_mut().insert(call, to);
--- a/overland/src/store/mod.rs
+++ b/overland/src/store/mod.rs
@@ -26,7 +26,7 @@
 use std::hash::Hasher;
 use std::io::{self, ErrorKind};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Bytes of memory that the store may hold for reads.
 const CACHE: u64 = 1 << 20;
@@ -89,6 +89,42 @@
     state: Vec<u8>,
 }
 
+/// Where a core process keeps what it must not forget.
+pub trait Disk {
+    /// Opens what is there, and reads it: nothing where the disk is empty.
+    ///
+    /// # Errors
+    ///
+    /// The disk takes nothing now ([`takes_nothing`] says so), or can't be used at all.
+    fn open(&self) -> Result<(Box<dyn Saves>, Option<Saved>)>;
+}
+
+/// An open store.
+pub trait Saves {
+    /// Brings it to disk. When this returns it is there.
+    ///
+    /// # Errors
+    ///
+    /// The disk takes nothing. What is on it is what was there before, or this.
+    fn save(&self, save: &Save) -> Result<()>;
+}
+
+/// The disk of a machine: a folder.
+pub struct Folder(pub PathBuf);
+
+impl Disk for Folder {
+    fn open(&self) -> Result<(Box<dyn Saves>, Option<Saved>)> {
+        let (store, saved) = Store::open(&self.0)?;
+        Ok((Box::new(store), saved))
+    }
+}
+
+impl Saves for Store {
+    fn save(&self, save: &Save) -> Result<()> {
+        Store::save(self, save)
+    }
+}
+
 /// The store of one core process.
 pub struct Store {
     database: Database,
@@ -173,6 +209,16 @@
     }
 }
 
+/// Whether an error only says that the disk takes nothing now: there may be room later.
+pub fn takes_nothing(error: &eyre::Report) -> bool {
+    error.chain().any(|cause| {
+        let library = cause.downcast_ref::<fjall::Error>();
+        // An open store takes nothing any more once a write has failed.
+        let library = library.is_some_and(|error| passes(error) || matches!(error, fjall::Error::Poisoned));
+        library || cause.downcast_ref::<io::Error>().is_some_and(passing)
+    })
+}
+
 impl Store {
     /// Opens the store in a folder, and reads what it holds: nothing where the disk is empty, and the vow of a process that
     /// counts for nothing where it was damaged. The damaged store is set aside beside the new one.
--- a/overland/tests/hollow.rs
+++ b/overland/tests/hollow.rs
@@ -59,7 +59,7 @@
 }
 
 fn pulse(index: u64, digest: u64) -> ToAgent {
-    let pulse = Pulse { at: 1.0, leads: true, term: 3, index, members: Vec::new(), digest };
+    let pulse = Pulse { at: 1.0, leads: true, term: 3, index, members: Vec::new(), digest, unsettled: false };
     ToAgent { pulse: Some(pulse), ..ToAgent::default() }
 }
 
--- a/overland/tests/kept/mod.rs
+++ b/overland/tests/kept/mod.rs
@@ -1,4 +1,5 @@
 //! What a disk holds after a save, as both kinds of drawn histories keep it.
+#![allow(dead_code)] // Each test program takes what it needs of it.
 
 use overland::agreement::{Save, Saved};
 use overland::invariants::violated_on_this_thread;
