Remember the end of an evacuation in the agreed state, also where its beginning was never agreed on

By its log a leader was back 0.9 s before the evacuation's end and settled; the evacuation had not been agreed on, so its end, which was, told proxies nothing: they marked a zone as cold only if they had it as emptied. The zone's backends turned cold after their last heartbeat. Ruled out: a lost full rate, as all proxies had it by right. Change: the state keeps when each zone was taken back, for a minute, and whole states tell it; proxies take the zone's backends for cold from then on, whatever they knew before. A proxy that starts in those seconds knows it, too.

--- a/overland/src/news.rs
+++ b/overland/src/news.rs
@@ -172,6 +172,20 @@
     /// What came of the operators' orders.
     #[prost(message, optional, boxed, tag = "7")]
     pub orders: Option<Box<Orders>>,
+    /// Zones that were taken back lately. Earlier programs tell none.
+    #[prost(message, repeated, tag = "8")]
+    pub taken_back: Vec<TakenBack>,
+}
+
+/// The end of a zone's evacuation.
+#[derive(Clone, PartialEq, Message)]
+pub struct TakenBack {
+    /// The zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// It was agreed on so long ago, in ms.
+    #[prost(uint64, tag = "2")]
+    pub ago_ms: u64,
 }
 
 /// What came of the operators' orders, as far as it is remembered.
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -33,7 +33,6 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -135,8 +134,6 @@
     pools: RefCell<Numbers>,
     /// Zones that are emptied, one bit each.
     evacuated: Cell<u64>,
-    /// When each zone that was emptied was taken back, by the driver's clock.
-    taken_back: RefCell<BTreeMap<u32, Millis>>,
     /// Backends count as warm that are not known to be cold, as they were last listed.
     full_rate: Cell<bool>,
     tally: RefCell<Tally>,
@@ -220,7 +217,6 @@
             routes: RefCell::default(),
             pools: RefCell::default(),
             evacuated: Cell::new(0),
-            taken_back: RefCell::default(),
             full_rate: Cell::new(false),
             tally: RefCell::new(Tally::new(settings.bounds.quota_slack)),
             charges,
@@ -433,10 +429,8 @@
         let table = self.table.borrow();
         let mut pools = self.pools.borrow_mut();
         let bits = state.evacuated.iter().fold(0, |bits, zone| bits | 1 << self.zones.number(zone).min(63));
-        let back = self.evacuated.replace(bits) & !bits;
+        self.evacuated.set(bits);
         let (mine, theirs) = (self.now(), self.driver.now());
-        let mut taken_back = self.taken_back.borrow_mut();
-        taken_back.extend((0..64).filter(|zone| back >> zone & 1 == 1).map(|zone| (zone, theirs)));
         let region = |zone: &str| self.zones.region(zone);
         let full_rate = copy.has_full_rate(mine);
         self.full_rate.set(full_rate);
@@ -446,13 +440,11 @@
             let b = &known.backend;
             let (pool, zone) = (pools.of(&b.service), self.zones.number(&b.zone));
             let per_s = table.as_ref().and_then(|table| table.cold_per_s.get(&pool)).copied().unwrap_or(0.0);
-            let mut cold_until = if known.cold_until > mine { theirs + known.cold_until - mine } else { 0.0 };
-            if let Some(at) = taken_back.get(&zone.min(63)) {
-                // Backends of a zone that was taken back may have turned cold meanwhile.
-                let cold_ms =
-                    table.as_ref().and_then(|table| table.cold_ms.get(&pool)).copied().unwrap_or(0.0);
-                cold_until = f64::max(cold_until, at + cold_ms);
-            }
+            let cold_ms = table.as_ref().and_then(|table| table.cold_ms.get(&pool)).copied().unwrap_or(0.0);
+            // Backends of a zone that was taken back may have turned cold meanwhile.
+            let taken_back = state.taken_back.get(&b.zone).map_or(0.0, |at| at + cold_ms);
+            let cold_until = known.cold_until.max(taken_back);
+            let cold_until = if cold_until > mine { theirs + cold_until - mine } else { 0.0 };
             let cold = per_s > 0.0 && cold_until > theirs;
             let share = (per_s > 0.0 && (cold || !full_rate)).then(|| shares.share(&b.id, per_s));
             let far = match (b.zone == self.settings.zone, region(&b.zone) == Some(&self.settings.region)) {
--- a/overland/src/state.rs
+++ b/overland/src/state.rs
@@ -2,7 +2,8 @@
 
 use crate::ledger::{Ledger, Mark, Standing};
 use crate::news::{
-    Backend, Change, Configured, Gateway, Kind, Mend, Numbered, Range as Told, Ranges, Refused, Whole,
+    Backend, Change, Configured, Gateway, Kind, Mend, Numbered, Range as Told, Ranges, Refused, TakenBack,
+    Whole,
 };
 use cherrytally::Millis;
 use prost::Message;
@@ -16,6 +17,9 @@
 /// beat is looked for, and at 256 bytes at most they take half a MiB.
 const LEFT_MOST: usize = 2048;
 
+/// The end of an evacuation is remembered for so long, in ms: backends are cold for some seconds after it.
+const TAKEN_BACK_MS: Millis = 60_000.0;
+
 /// A backend, and until when it is cold by the clock of whoever holds the copy.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Known {
@@ -34,6 +38,9 @@
     pub config: Option<Configured>,
     /// Zones that are emptied.
     pub evacuated: BTreeSet<String>,
+    /// Zones whose evacuation ended lately, and when, by the clock of whoever holds the copy. The beginning may never have been
+    /// agreed on: their backends may be cold all the same.
+    pub taken_back: BTreeMap<String, Millis>,
     /// Backends by id.
     pub backends: BTreeMap<String, Known>,
     /// Gateways by machine.
@@ -159,6 +166,8 @@
                     self.evacuated.insert(evacuated.zone.clone());
                 } else {
                     self.evacuated.remove(&evacuated.zone);
+                    self.taken_back.retain(|_, at| now - *at < TAKEN_BACK_MS);
+                    self.taken_back.insert(evacuated.zone.clone(), now);
                 }
                 Touched::Backends
             }
@@ -258,7 +267,11 @@
             let left = (known.cold_until - now).max(0.0);
             Backend { cold_ms: left.ceil() as u64, ..known.backend.clone() }
         };
+        let lately = self.taken_back.iter().filter(|(_, at)| now - **at < TAKEN_BACK_MS);
+        let taken_back =
+            lately.map(|(zone, at)| TakenBack { zone: zone.clone(), ago_ms: (now - at).max(0.0) as u64 });
         let mut whole = Whole {
+            taken_back: taken_back.collect(),
             index: self.index,
             config: self.config.clone(),
             evacuated: self.evacuated.iter().cloned().collect(),
@@ -350,7 +363,9 @@
             let cold_until = if backend.cold_ms > 0 { now + backend.cold_ms as f64 } else { 0.0 };
             (backend.id.clone(), Known { backend, cold_until })
         };
+        let taken_back = whole.taken_back.into_iter().map(|of| (of.zone, now - of.ago_ms as f64));
         State {
+            taken_back: taken_back.collect(),
             index: whole.index,
             config: whole.config,
             evacuated: whole.evacuated.into_iter().collect(),
--- a/overland/tests/copies.rs
+++ b/overland/tests/copies.rs
@@ -47,6 +47,7 @@
     // What orders calls is for the core alone, and an older process in the middle of an upgrade knows nothing of it.
     state.ledger = Default::default();
     state.left.clear();
+    state.taken_back.clear();
     state.backends.values_mut().for_each(|known| {
         known.cold_until = 0.0;
         (known.backend.cold_ms, known.backend.postmark) = (0, 0);
@@ -123,3 +124,20 @@
     // One that is known is told at any time.
     assert_eq!(digest.lately(5001.0, &state), digest.of(&state));
 }
+
+/// Where the beginning of an evacuation was never agreed on, its end still tells that the zone's backends may be cold, also to
+/// a copy that is made of a whole state; not for long.
+#[test]
+fn the_end_of_an_evacuation_is_known_without_its_beginning() {
+    let mut state = State::default();
+    let end = Change { kind: Some(Kind::Evacuated(Evacuated { zone: "a".into(), on: false })), left: false };
+    state.apply(5_000.0, 1, Some(&end));
+    assert_eq!(state.taken_back.get("a"), Some(&5_000.0));
+    let later = State::from_whole(100.0, state.whole(7_000.0, false));
+    assert_eq!(
+        later.taken_back.get("a"),
+        Some(&-1_900.0),
+        "two seconds before it was made, by its own clock"
+    );
+    assert!(State::from_whole(0.0, state.whole(70_000.0, false)).taken_back.is_empty());
+}
