--- a/overland/tests/finds/mod.rs
+++ b/overland/tests/finds/mod.rs
@@ -4,6 +4,9 @@
 use std::any::Any;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
+/// How far it is, is told after so many histories.
+const PROGRESS: u64 = 500;
+
 /// A history that failed.
 pub struct Find {
     /// Things that happened in it.
@@ -27,7 +30,12 @@
     events: impl Fn(&W) -> u64,
 ) -> Option<Find> {
     let mut finds = Vec::new();
+    let (first, all) = (seeds.start, seeds.end - seeds.start);
     for seed in seeds {
+        let played = seed - first;
+        if played > 0 && played.is_multiple_of(PROGRESS) {
+            eprintln!("{played} of {all} histories, {} failed", finds.len());
+        }
         let mut world = draw(seed);
         if let Err(why) = catch_unwind(AssertUnwindSafe(|| play(&mut world))) {
             finds.push(Find { events: events(&world), seed, why });
