--- a/overland/tests/control.rs
+++ b/overland/tests/control.rs
@@ -90,23 +90,7 @@
 #[test]
 fn a_new_leader_grants_no_full_rate_before_it_has_heard_every_backend() {
     let draw = |seed| World::new(seed, members(seed), 0, 8, 6, 0);
-    histories(10, draw, |world| {
-        world.begin();
-        world.pass(10_000.0);
-        let cores: Vec<_> = (0..world.cores.len()).map(Place::Core).collect();
-        (0..cores.len()).for_each(|core| world.kill_core(core));
-        world.cut_off(Place::Outside, cores.iter().copied());
-        world.pass(11_500.0);
-        let full = |world: &World| (0..8).filter(|gateway| world.has_full_rate(*gateway)).count();
-        assert_eq!(full(world), 0, "nobody leads");
-        cores.iter().for_each(|core| world.start_later(*core, 100.0));
-        while world.now < 15_000.0 {
-            world.pass(world.now + 50.0);
-            assert_eq!(full(world), 0, "no backend was heard");
-        }
-        assert!(world.leader().is_some(), "somebody leads by now");
-        world.settle(8_000.0);
-    });
+    histories(10, draw, World::core_is_off_and_hears_no_backend);
 }
 
 /// Words of no member, and in names that are no addresses, are counted, and change nothing.
--- a/overland/tests/promises.rs
+++ b/overland/tests/promises.rs
@@ -42,3 +42,15 @@
     }
     assert!(missed.is_empty(), "not found: {missed:?}");
 }
+
+#[test]
+fn a_leader_that_counts_as_settled_unheard_is_found() {
+    let draw = |seed| World::new(seed, 3, 0, 4, 6, 0);
+    let play = |world: &mut World| {
+        world.mutant = Some(Mutant::SettledUnheard);
+        world.core_is_off_and_hears_no_backend();
+    };
+    let find = finds::shortest(0..MOST, FINDS, draw, play, |world| world.events).expect("it is not found");
+    assert!(find.text().contains("it takes backends for warm"), "{}", find.text());
+    println!("history {}, {} events", find.seed, find.events);
+}
--- a/overland/tests/simulated/mod.rs
+++ b/overland/tests/simulated/mod.rs
@@ -60,6 +60,8 @@
     PushBeforeCommit,
     /// Gateways are taken to hold what they don't.
     HeldUnseen,
+    /// A leader is taken to have heard all backends as soon as it leads.
+    SettledUnheard,
     /// A proxy never stops going by keys by itself.
     NeverStops,
     /// A proxy takes old news of its agent for new ones.
@@ -1144,7 +1146,10 @@
         Some(HELD_MS)
     }
 
-    fn said(&mut self, link: u64, news: Box<ToAgent>) {
+    fn said(&mut self, link: u64, mut news: Box<ToAgent>) {
+        if let (Some(Mutant::SettledUnheard), Some(pulse)) = (self.mutant, &mut news.pulse) {
+            pulse.unsettled = false;
+        }
         let Some(of) = self.links.get(&link) else { return };
         let (gateway, life, core) = (of.gateway, of.gateway_life, of.core);
         if let Some(again) = self.held_up(link, Place::Core(core), Place::Gateway(gateway)) {
--- a/overland/tests/simulated/troubles.rs
+++ b/overland/tests/simulated/troubles.rs
@@ -92,6 +92,30 @@
         self.settle(15_000.0);
     }
 
+    /// All core processes are killed, and come back; backends reach them again seconds after somebody leads. Nobody takes a
+    /// backend for warm meanwhile: any may have turned cold.
+    pub fn core_is_off_and_hears_no_backend(&mut self) {
+        let gateways = 0..self.gateways.len();
+        let nobody_has_full_rate = |world: &World| {
+            let has = gateways.clone().find(|gateway| world.has_full_rate(*gateway));
+            assert_eq!(has, None, "it takes backends for warm at {:.0}, and none was heard", world.now);
+        };
+        self.begin();
+        self.pass(10_000.0);
+        let cores: Vec<_> = (0..self.cores.len()).collect();
+        cores.iter().for_each(|core| self.kill_core(*core));
+        self.cut_off(Place::Outside, cores.iter().copied().map(Place::Core));
+        self.pass(11_500.0);
+        nobody_has_full_rate(self);
+        cores.iter().for_each(|core| self.start_later(Place::Core(*core), 100.0));
+        while self.now < 15_000.0 {
+            self.pass(self.now + 50.0);
+            nobody_has_full_rate(self);
+        }
+        assert!(self.leader().is_some(), "somebody leads by now");
+        self.settle(8_000.0);
+    }
+
     /// One trouble, from its beginning to its end. Gives how long it lasted, in ms.
     pub fn bring_about(&mut self, trouble: Trouble) -> f64 {
         let leader = self.leader().unwrap_or_else(|| self.any_core());
