Reckon in one place how many losses a list of members bears, and tell a full disk's reason once

Status goes by the invariant's now: a member that leaves counts as gone. The reason that a disk takes nothing stood twice in its line. tests/agreement, replacement and full_disk pass, 18 tests.

--- a/overland/src/agreement/members.rs
+++ b/overland/src/agreement/members.rs
@@ -137,19 +137,16 @@
             *name != self.me && lead.peers.get(name).is_none_or(|peer| now - peer.heard > SUSPECT_MS)
         };
         let filling = |name: &Name| *name != self.me && lead.peers.get(name).is_some_and(|p| !p.counts);
-        let (mut missing, mut full) = (Vec::new(), Vec::new());
-        let (mut fills, listeners) = (Vec::new(), lead.joining.keys().cloned().collect());
+        let (mut missing, mut fills) = (Vec::new(), Vec::new());
+        let listeners = lead.joining.keys().cloned().collect();
         for name in self.members() {
             match (absent(name), filling(name)) {
                 (true, _) => missing.push(name.clone()),
                 (_, true) => fills.push(name.clone()),
-                _ => full.push(name),
+                _ => {}
             }
         }
-        let borne = |members: &[Name]| {
-            let there = members.iter().filter(|name| full.contains(name)).count();
-            there.saturating_sub(members.len() / 2 + 1)
-        };
+        let borne = |members: &[Name]| usize::try_from(self.bears(lead, members, now)).unwrap_or(0);
         let present = borne(&self.membership.present);
         let next = self.membership.next.as_ref().map_or(present, |(_, next)| borne(next));
         Some(Roll { missing, filling: fills, listeners, borne: present.min(next) })
--- a/overland/src/control.rs
+++ b/overland/src/control.rs
@@ -203,7 +203,7 @@
     /// Gives up its part, and all that it has in hand, and begins anew as soon as the disk takes what is written: what it holds
     /// in memory may be more than what is on disk.
     fn wait_for_disk(self: &Rc<Self>, error: &eyre::Report) {
-        let why = format!("the disk takes nothing: {error:#}");
+        let why = format!("the disk takes nothing: {}", error.root_cause());
         if !matches!(&*self.duty.borrow(), Duty::WaitsForDisk(known) if *known == why) {
             log::error!("core: {why}; it takes no part until it does");
         }
