--- a/overland/src/copy.rs
+++ b/overland/src/copy.rs
@@ -10,6 +10,9 @@
 /// For so long after a settled leader's word a gateway sends backends as much as it likes, in ms. Without such a word any of
 /// them may have turned cold. Agents ask each 400 ms, and it takes some hundred to another region and back.
 const FULL_RATE_MS: Millis = 1200.0;
+/// A leader that comes so soon after a settled one's last word goes on with it, in ms: a heartbeat of each backend may have
+/// been missed, and is sent again at once.
+const GAP_MS: Millis = 2000.0;
 
 /// A proxy's copy of the agreed state.
 pub struct Copy {
@@ -113,7 +116,8 @@
             (Some(fresh), Some(word)) => Some(fresh.max(word)),
             (fresh, word) => fresh.or(word),
         };
-        if let Some(word) = taken.word.filter(|_| !unsettled) {
+        let goes_on = |settled: Option<Millis>, word: Millis| settled.is_some_and(|at| word - at < GAP_MS);
+        if let Some(word) = taken.word.filter(|word| !unsettled || goes_on(self.settled, *word)) {
             self.settled = Some(self.settled.map_or(word, |settled| settled.max(word)));
         }
         taken
--- a/overland/src/member/mod.rs
+++ b/overland/src/member/mod.rs
@@ -442,6 +442,9 @@
         if self.ticks.is_multiple_of(COMPARE_TICKS) && self.leads() {
             self.compare(out);
         }
+        if self.leads() && !self.presence.is_settled() {
+            self.settle();
+        }
         if self.unpushed {
             self.push(now, out);
         }
@@ -475,7 +478,6 @@
         if !self.vouches(now) {
             return;
         }
-        self.settle();
         for kind in self.changes_of_presence(now) {
             self.next.push_back(Next::Propose(kind, None));
         }
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -464,8 +464,12 @@
                 far,
                 cold_until: if per_s > 0.0 { cold_until } else { 0.0 },
                 cold_per_s: share.map_or(0.0, |share| per_s / share.senders),
-                apart_until: if full_rate { cold_until } else { f64::INFINITY },
-                apart_ms: share.map_or(0.0, |share| share.apart_ms),
+                limited_until: match share {
+                    None => 0.0,
+                    Some(_) if full_rate => cold_until,
+                    Some(_) => f64::INFINITY,
+                },
+                limit: share.map_or(0, |share| share.limit),
             };
             Some(Listing { name: b.id.clone(), addr: Some(b.address.parse().ok()?), listed })
         });
--- a/overland/src/shares.rs
+++ b/overland/src/shares.rs
@@ -1,7 +1,7 @@
 //! The part of what a cold backend bears that each gateway may send it.
 //!
 //! All gateways together may send a cold backend only so many requests in any second. Each one holds a part of that number
-//! by the agreed list of gateways, and keeps its attempts so far apart that it never sends more than its part in any second.
+//! by the agreed list of gateways, and never sends more than its part in any second.
 //! The sum holds whatever the others know: it needs no message between gateways. Where there are more gateways than requests
 //! in a second, only some of them, chosen by rendezvous hashing, may send at all.
 
@@ -10,17 +10,15 @@
 use std::hash::Hasher;
 
 /// The part of a bound that is handed out: while the list of gateways changes, two versions of it are gone by.
-const HANDED_OUT: f64 = 0.8;
-/// A second, and what timers and clocks at different rates may shorten it by, in ms.
-const SECOND_MS: f64 = 1050.0;
+const HANDED_OUT: f64 = 0.9;
 
 /// What one gateway may send one backend that is cold, or may be.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Share {
     /// How many gateways have a part.
     pub senders: f64,
-    /// Least time between two attempts of this gateway, in ms; infinite where it has no part.
-    pub apart_ms: f64,
+    /// Attempts of this gateway in any second; nought where it has no part.
+    pub limit: u32,
 }
 
 /// The gateways that have parts, as this one knows them.
@@ -51,7 +49,7 @@
         let senders = most.min(gateways.max(1) as f64);
         let each = (handed_out / senders).floor().max(1.0);
         let sends = self.is_sender(backend, senders as usize);
-        Share { senders, apart_ms: if sends { SECOND_MS / each } else { f64::INFINITY } }
+        Share { senders, limit: if sends { each as u32 } else { 0 } }
     }
 
     /// Whether this gateway is among the first `senders` for a backend.
--- a/src/bin/cherrytally-benchlink/main.rs
+++ b/src/bin/cherrytally-benchlink/main.rs
@@ -157,8 +157,8 @@
         far: 0.0,
         cold_until: 0.0,
         cold_per_s: 0.0,
-        apart_until: 0.0,
-        apart_ms: 0.0,
+        limited_until: 0.0,
+        limit: 0,
     })
 }
 
--- a/src/bin/heronstage/speech.rs
+++ b/src/bin/heronstage/speech.rs
@@ -37,8 +37,8 @@
                 far: 0.0,
                 cold_until: 0.0,
                 cold_per_s: 0.0,
-                apart_until: 0.0,
-                apart_ms: 0.0,
+                limited_until: 0.0,
+                limit: 0,
             };
             Told { name: server.id, addr: server.addr, listed }
         });
--- a/src/choice/attempts.rs
+++ b/src/choice/attempts.rs
@@ -53,7 +53,7 @@
             b.begin(now);
         }
         b.cold.0 -= 1.0;
-        b.sent = now;
+        b.note_sent(now);
         if let Some(c) = self.customers.get_mut(&request.customer) {
             c.out += 1;
             if first {
--- a/src/choice/pick.rs
+++ b/src/choice/pick.rs
@@ -48,7 +48,7 @@
                     Group::Cell => b.listed.cell == cell && b.listed.zone == zone,
                 })
                 && (cold_share(rules, now, b).is_none() || b.cold.0 >= 1.0)
-                && (now >= b.listed.apart_until || now - b.sent >= b.listed.apart_ms)
+                && (now >= b.listed.limited_until || b.sent_lately(now) < b.listed.limit as usize)
         };
         let distrust = self.distrust(pool);
         let kept = self.kept(now, pool);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -240,10 +240,10 @@
     pub cold_until: Millis,
     /// This gateway's part of the requests a second that it bears while cold.
     pub cold_per_s: f64,
-    /// Until then this gateway sends it no two attempts closer than `apart_ms`; 0 if that is not so.
-    pub apart_until: Millis,
-    /// In ms; infinite where it may send none.
-    pub apart_ms: Millis,
+    /// Until then this gateway sends it no more than `limit` attempts in any second; 0 if that is not so.
+    pub limited_until: Millis,
+    /// The limit; at nought it is sent none.
+    pub limit: u32,
 }
 
 /// A backend's state in the list.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,8 +17,8 @@
 //! let mut gateway = Gateway::new(settings, 7, 0.0);
 //! let mut actions = Vec::new();
 //! let entries = vec![Listed { id: 11, zone: 0, kind: 0, cell: 0, state: State::Ready, size: 1.0, started: 0.0,
-//!     pool: 0, far: 0.0, cold_until: 0.0, cold_per_s: 0.0, apart_until: 0.0,
-//!     apart_ms: 0.0 }];
+//!     pool: 0, far: 0.0, cold_until: 0.0, cold_per_s: 0.0, limited_until: 0.0,
+//!     limit: 0 }];
 //! gateway.handle(0.0, Event::List { full: true, entries }, &mut actions);
 //! let request = |id| Event::Request(Request { id, customer: 5, plan: 0, class: 0, units: 3.0,
 //!     budget_ms: 2000.0, spread: 1.0, repeat: false, streams: false, pool: 0, places: u64::MAX });
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a gateway remembers: plain data, nothing here decides anything.
 
 use crate::interface::{BackendId, CustomerId, Listed, Millis, Request, RequestId};
+use std::collections::VecDeque;
 
 /// One customer as this gateway sees it.
 #[derive(Default)]
@@ -87,6 +88,9 @@
     pub(crate) units: f64,
 }
 
+/// A second, and what timers and clocks at different rates may shorten it by, in ms.
+const SECOND_MS: Millis = 1050.0;
+
 /// One backend as this gateway sees it.
 pub(crate) struct Backend {
     pub(crate) listed: Listed,
@@ -96,8 +100,8 @@
     pub(crate) born: Option<Millis>,
     /// Work it may be sent while cold, in requests, and when that was reckoned.
     pub(crate) cold: (f64, Millis),
-    /// When it was last sent an attempt.
-    pub(crate) sent: Millis,
+    /// When it was sent its last attempts, as many as a limit may count.
+    pub(crate) sent: VecDeque<Millis>,
     pub(crate) out: u32,
     /// Its time for a request beside the fleet's, and when last learned.
     pub(crate) pace: f64,
@@ -123,7 +127,7 @@
             lot,
             born,
             cold,
-            sent: f64::NEG_INFINITY,
+            sent: VecDeque::new(),
             out,
             pace,
             learned,
@@ -140,6 +144,19 @@
         self.errors.0 * (-(now - self.errors.1).max(0.0) / memory_ms).exp()
     }
 
+    /// Attempts that it was sent in the last second.
+    pub(crate) fn sent_lately(&self, now: Millis) -> usize {
+        self.sent.iter().rev().take_while(|at| now - **at < SECOND_MS).count()
+    }
+
+    /// It is sent an attempt.
+    pub(crate) fn note_sent(&mut self, now: Millis) {
+        if self.listed.limited_until > now {
+            self.sent.retain(|at| now - *at < SECOND_MS);
+            self.sent.push_back(now);
+        }
+    }
+
     /// One more request is its work.
     pub(crate) fn begin(&mut self, now: Millis) {
         if self.out == 0 {
