--- a/overland/src/copy.rs
+++ b/overland/src/copy.rs
@@ -8,11 +8,11 @@
 use cherrytally::Millis;
 
 /// For so long after a settled leader's word a gateway sends backends as much as it likes, in ms. Without such a word any of
-/// them may have turned cold. Agents ask each 400 ms, and it takes some hundred to another region and back.
-const FULL_RATE_MS: Millis = 1200.0;
+/// them may have turned cold. It is longer than it takes to elect another leader, and shorter than a zone is emptied for.
+const FULL_RATE_MS: Millis = 2000.0;
 /// A leader that comes so soon after a settled one's last word goes on with it, in ms: a heartbeat of each backend may have
 /// been missed, and is sent again at once.
-const GAP_MS: Millis = 2000.0;
+const GAP_MS: Millis = 3000.0;
 
 /// A proxy's copy of the agreed state.
 pub struct Copy {
@@ -22,8 +22,9 @@
     differs: bool,
     /// The moment of the last word of who leads.
     fresh: Option<Millis>,
-    /// The moment of the last word of a leader that had heard every backend.
-    settled: Option<Millis>,
+    /// The moment of the last word of a leader that had heard every backend, or that went on with such a one. A process that
+    /// starts counts as just told: it is given the state as it is then.
+    settled: Millis,
     /// For so long after that word it goes by the keys that it has, in ms; none where it always does.
     lease: Option<Millis>,
 }
@@ -43,12 +44,12 @@
     /// No copy yet.
     pub fn new(bounds: &Bounds) -> Self {
         let lease = bounds.closed.then(|| bounds.lease().as_secs_f64() * 1000.0);
-        Copy { state: None, digest: Digest::default(), differs: false, fresh: None, settled: None, lease }
+        Copy { state: None, digest: Digest::default(), differs: false, fresh: None, settled: 0.0, lease }
     }
 
     /// A copy that no leader keeps up to date: it counts as told for good.
     pub fn apart(bounds: &Bounds) -> Self {
-        Copy { settled: Some(f64::INFINITY), ..Copy::new(bounds) }
+        Copy { settled: f64::INFINITY, ..Copy::new(bounds) }
     }
 
     /// The copy, once there is one.
@@ -71,14 +72,14 @@
         self.lease.is_none_or(|lease| self.word_age(now).is_some_and(|age| age < lease))
     }
 
-    /// Until when backends count as warm that are not known to be cold; none before the first word.
-    pub fn full_rate_until(&self) -> Option<Millis> {
-        self.settled.map(|at| at + FULL_RATE_MS)
+    /// Until when backends count as warm that are not known to be cold.
+    pub fn full_rate_until(&self) -> Millis {
+        self.settled + FULL_RATE_MS
     }
 
     /// Whether backends count as warm that are not known to be cold.
     pub fn has_full_rate(&self, now: Millis) -> bool {
-        self.full_rate_until().is_some_and(|until| now < until)
+        now < self.full_rate_until()
     }
 
     /// What the agent is told.
@@ -116,9 +117,8 @@
             (Some(fresh), Some(word)) => Some(fresh.max(word)),
             (fresh, word) => fresh.or(word),
         };
-        let goes_on = |settled: Option<Millis>, word: Millis| settled.is_some_and(|at| word - at < GAP_MS);
-        if let Some(word) = taken.word.filter(|word| !unsettled || goes_on(self.settled, *word)) {
-            self.settled = Some(self.settled.map_or(word, |settled| settled.max(word)));
+        if let Some(word) = taken.word.filter(|word| !unsettled || word - self.settled < GAP_MS) {
+            self.settled = self.settled.max(word);
         }
         taken
     }
--- a/overland/src/proxy.rs
+++ b/overland/src/proxy.rs
@@ -385,8 +385,7 @@
     /// Lists backends anew as soon as the last word of a settled leader is too old.
     async fn mind_full_rate(self: Rc<Self>) {
         loop {
-            let until = self.copy.borrow().full_rate_until().unwrap_or_default();
-            let left = until - self.now();
+            let left = self.copy.borrow().full_rate_until() - self.now();
             sleep(if left > 0.0 { Duration::from_secs_f64(left / 1000.0) } else { NO_FULL_RATE }).await;
             if self.full_rate.get() && !self.copy.borrow().has_full_rate(self.now()) {
                 log::info!("proxy: no settled leader is heard: any backend may be cold");
--- a/overland/src/shares.rs
+++ b/overland/src/shares.rs
@@ -9,8 +9,11 @@
 use crate::state::hasher;
 use std::hash::Hasher;
 
-/// The part of a bound that is handed out: while the list of gateways changes, two versions of it are gone by.
-const HANDED_OUT: f64 = 0.9;
+/// The part of a bound that is handed out where every gateway has a part: while the list of gateways changes, there may be one
+/// more than it names.
+const TO_ALL: f64 = 0.9;
+/// And where only some have: by two versions of the list others may be chosen.
+const TO_SOME: f64 = 0.8;
 
 /// What one gateway may send one backend that is cold, or may be.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,10 +46,11 @@
 
     /// This gateway's part of what a backend may be sent that bears `cold_per_s` requests a second while cold.
     pub fn share(&self, backend: &str, cold_per_s: f64) -> Share {
-        let handed_out = (cold_per_s * self.over.0 + self.over.1) * HANDED_OUT;
-        let most = handed_out.floor().max(1.0);
-        let gateways = self.others.len() + usize::from(self.own.is_some());
-        let senders = most.min(gateways.max(1) as f64);
+        let allowed = cold_per_s * self.over.0 + self.over.1;
+        let gateways = (self.others.len() + usize::from(self.own.is_some())).max(1) as f64;
+        let to_all = gateways <= allowed * TO_ALL;
+        let handed_out = allowed * if to_all { TO_ALL } else { TO_SOME };
+        let senders = if to_all { gateways } else { handed_out.floor().max(1.0) };
         let each = (handed_out / senders).floor().max(1.0);
         let sends = self.is_sender(backend, senders as usize);
         Share { senders, limit: if sends { each as u32 } else { 0 } }
