--- a/src/choice/cold.rs
+++ b/src/choice/cold.rs
@@ -21,7 +21,7 @@
         // The average began at nought: what it holds as yet stands for all of it.
         let known = 1.0 - (-(now - self.started).max(RATE_KNOWN_MS) / RATE_MS).exp();
         let part = self.flow_of(pool).rate / known / f64::max(units, least).max(1.0);
-        // Those kept to alone, and those that this gateway has a part of: so many gateways the parts are reckoned for.
+        // Those kept to alone, and those that this gateway has a part of: the parts are reckoned for these.
         let has_part = |b: &Backend| b.lot < kept || b.listed.cold_until > now && b.listed.limit > 0;
         for b in self.backends.values_mut().filter(|b| b.listed.pool == pool && has_part(b)) {
             let Some(share) = cold_share(&rules, now, b) else { continue };
--- a/src/choice/list.rs
+++ b/src/choice/list.rs
@@ -29,7 +29,7 @@
                         (b.failures, b.pace, b.full_until) = (0, 1.0, Vec::new());
                         b.errors = (0.0, now);
                     } else if entry.cold_until > now && b.listed.cold_until <= now {
-                        // What it was sent while warm is no debt, and gateways that hear of it at once begin spread out.
+                        // What it was sent while warm is no debt; all gateways hear of it at once.
                         b.cold = (self.rng.f64(), now);
                     }
                     b.listed = entry;
--- a/src/choice/tuned.rs
+++ b/src/choice/tuned.rs
@@ -110,7 +110,7 @@
 pub(super) const GATEWAYS_MS: f64 = 10_000.0;
 /// Refusals are summed up in a line of the log after so many housekeeping periods.
 pub(super) const TELL_TICKS: u32 = 10;
-/// The part that a gateway uses of its share of what a cold backend bears a second: it doesn't know the others.
+/// The part that a gateway uses of its share of what a cold backend bears a second.
 pub(super) const COLD_PART: f64 = 0.6;
 /// Housekeeping period, in ms.
 pub(super) const TICK_MS: f64 = 1000.0;
