--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -307,9 +307,9 @@
     assert!(to[1..].iter().all(|n| (10..=200).contains(n)), "75 each on average: {to:?}");
 }
 
-/// When each of so many gateways sent to backend 1, which all hear to be cold at 10 s for 3 s, from then on; each has five
-/// requests a second for two backends, and may send the cold one so many in a second.
-fn sent_to_a_cold_one(gateways: u32, limit: u32) -> Vec<f64> {
+/// When each of so many gateways sent to backend 1 from 10 s on. There all hear that it is cold for so long, and limited for
+/// 3 s; each has five requests a second for two backends.
+fn sent_to_a_limited_one(gateways: u32, cold_ms: f64, limit: u32) -> Vec<f64> {
     let mut to_cold = Vec::new();
     for position in 0..gateways {
         let settings = Settings { gateways, position, ..open_settings() };
@@ -320,7 +320,7 @@
             rig.now = (id * 200) as f64 + f64::from(position);
             if id == 50 {
                 let cold = Listed {
-                    cold_until: rig.now + 3000.0,
+                    cold_until: rig.now + cold_ms,
                     cold_per_s: 3.6 / f64::from(gateways),
                     limited_until: rig.now + 3000.0,
                     limit,
@@ -340,16 +340,16 @@
 
 #[test]
 fn a_backend_that_turns_cold_is_sent_its_part_from_the_first_second() {
-    let at_once = sent_to_a_cold_one(30, 1).into_iter().filter(|at| *at < 11_000.0).count();
+    let at_once = sent_to_a_limited_one(30, 3000.0, 1).into_iter().filter(|at| *at < 11_000.0).count();
     // It bears 3.6 a second, and they send it 0.6 of that. What it was sent while warm is no debt.
     assert!((1..=5).contains(&at_once), "{at_once} in the first second after the news");
 }
 
 #[test]
-fn no_second_has_more_attempts_at_a_cold_backend_than_is_told() {
-    assert!(sent_to_a_cold_one(1, 0).is_empty(), "it may send none");
+fn no_second_has_more_attempts_at_a_limited_backend_than_is_told() {
+    assert!(sent_to_a_limited_one(1, 0.0, 0).is_empty(), "it may send none");
     for limit in [1, 2] {
-        let sent = sent_to_a_cold_one(1, limit);
+        let sent = sent_to_a_limited_one(1, 0.0, limit);
         let most =
             sent.iter().map(|at| sent.iter().filter(|other| (*at..=at + 1000.0).contains(*other)).count());
         assert_eq!(most.max(), Some(limit as usize), "{sent:?}");
