Proxy: record how each client connection ends

The HTTP library now gets a client's connection through ClientStream, which notes the end at its shutdown. The end is logged at debug with the phase of the shutdown, and counted in pelion_connection_ends_total.

--- a/src/plane/mod.rs
+++ b/src/plane/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod backends;
 pub mod body;
+pub mod client_stream;
 pub mod deadline;
 pub mod driver;
 pub mod exchange;
--- a/system/src/metrics.rs
+++ b/system/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::invariants;
 use crate::quota::Verdict;
+use oakfall::plane::client_stream::ConnectionEnd;
 use oakfall::plane::driver::Observer;
 use oakfall::{CallResult, Reason};
 use prometheus_client::encoding::text::{encode_eof, encode_registry};
@@ -52,6 +53,7 @@
     attempts: Family<WhatLabel, Counter>,
     refusals: Family<WhatLabel, Counter>,
     charges: Family<WhatLabel, Counter>,
+    connection_ends: Family<WhatLabel, Counter>,
     relayed: Counter,
     pipelined: Counter,
     repairs: Counter,
@@ -73,6 +75,12 @@
         registry.register("attempts", "Attempts at backends by result", attempts.clone());
         registry.register("refusals", "Requests refused by the decision module, by reason", refusals.clone());
         registry.register("charges", "Requests charged to their tenant, by outcome", charges.clone());
+        let connection_ends = Family::default();
+        registry.register(
+            "connection_ends",
+            "Client connections that ended, by how they ended",
+            connection_ends.clone(),
+        );
         let (relayed, pipelined, repairs) = <(Counter, Counter, Counter)>::default();
         registry.register("relayed", "Attempts written completely to backends", relayed.clone());
         registry.register("ahead", "Pipelined requests started before their turn", pipelined.clone());
@@ -84,6 +92,7 @@
             attempts,
             refusals,
             charges,
+            connection_ends,
             relayed,
             pipelined,
             repairs,
@@ -104,6 +113,11 @@
         self.charges.get_or_create(&WhatLabel { what }).inc();
     }
 
+    /// Records the end of a client's connection.
+    pub fn connection_ended(&self, end: ConnectionEnd) {
+        self.connection_ends.get_or_create(&WhatLabel { what: end.name() }).inc();
+    }
+
     /// Records a pipelined request that was started early.
     pub fn request_pipelined(&self) {
         self.pipelined.inc();
--- a/system/src/proxy.rs
+++ b/system/src/proxy.rs
@@ -28,6 +28,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use oakfall::plane::backends::{Backends, Dial, Stream};
 use oakfall::plane::body::{BodyError, MemoryBudget, ResponseBody, UnreadBody, Upload, MAX_BUFFERED_BYTES};
+use oakfall::plane::client_stream::{ClientStream, EndRecord};
 use oakfall::plane::deadline::{ClientDeadline, Deadline};
 use oakfall::plane::driver::{
     BackendProtocol, BackendRequest, DiscoveredBackend as DriverBackend, Driver, DriverResources,
@@ -99,7 +100,7 @@
 }
 
 /// Shutdown phase.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
     /// Accepts clients.
     Serving,
@@ -698,8 +699,22 @@
         }
     }
 
-    /// Serves a client connection until it closes.
+    /// Serves a client connection until it closes, and records how it ended.
     pub async fn serve_connection(self: Rc<Self>, stream: impl Stream) {
+        let record = EndRecord::default();
+        let result = self.exchange_requests(ClientStream::new(stream, record.clone())).await;
+        let end = record.end();
+        self.metrics.connection_ended(end);
+        log::debug!(
+            "proxy: client connection ended in phase {:?}: {}{}",
+            *self.phase.borrow(),
+            end.name(),
+            result.err().map_or(String::new(), |error| format!(", {error:?}"))
+        );
+    }
+
+    /// Serves a client's requests until its connection closes or fails.
+    async fn exchange_requests(self: &Rc<Self>, stream: ClientStream<impl Stream>) -> hyper::Result<()> {
         let idle = self.table.borrow().as_ref().map_or(READ_TIMEOUT, |table| table.idle_timeout);
         let pipeline = Pipeline::new();
         let client_stream =
@@ -723,12 +738,12 @@
             pipeline.drained().await;
         };
         tokio::select! {
-            _ = connection.as_mut() => return,
+            result = connection.as_mut() => return result,
             // A graceful shutdown would wait for a first request.
-            () = idle_close => if !received.get() { return },
+            () = idle_close => if !received.get() { return Ok(()) },
         }
         connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+        connection.await
     }
 
     /// Starts a pipelined request early if it may run more than once and the proxy is not shutting down.
