Proxy: a response cut off because its socket was closed with input unread

Cause: the answer carries Connection: close, and the HTTP library closes the socket once the last byte is in the kernel. The kernel resets a connection that is closed with unread input, or that gets input after it was closed, and discards what it has not sent yet.

Change: ClientStream closes its write side first, and then discards input until the client closes its side as well (RFC 9112, section 9.6): at most 2 s after the client's last byte, 20 s and 40 MiB in all. The connection keeps its permit meanwhile, so the shutdown waits for it as for a response, within the grace period as before.

--- a/src/plane/client_stream.rs
+++ b/src/plane/client_stream.rs
@@ -1,23 +1,45 @@
-//! A client's connection as the HTTP library sees it, with a record of how it ends.
+//! A client's connection as the HTTP library sees it, with a lingering close (RFC 9112, section 9.6).
+//!
+//! If a socket is closed with input unread, or input arrives after it was closed, the kernel resets the connection
+//! and discards what it has not sent yet: the client loses the end of its last response. [`ClientStream`] therefore
+//! closes only its write side at first. It then reads and discards input until the client closes its side as well,
+//! within limits of time and size.
 
 use super::backends::Stream;
+use super::body::MAX_REQUEST_BODY_BYTES;
 use std::cell::Cell;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{sleep_until, Instant, Sleep};
+
+/// A closing connection ends once its client has sent nothing for this long.
+pub const LINGER_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for which a closing connection discards input.
+pub const LINGER_TIMEOUT: Duration = Duration::from_secs(20);
+/// Maximum input that a closing connection discards; a client may still be sending a body that was refused.
+pub const MAX_DISCARDED_BYTES: u64 = MAX_REQUEST_BODY_BYTES;
+/// Size of one read of input to discard.
+const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
 
 /// How a client's connection ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ConnectionEnd {
-    /// It was dropped before a shutdown: an error, a timeout, or a connection without a request.
+    /// It was dropped before its shutdown was complete: an error, a timeout, or no request at all.
     #[default]
     Dropped,
-    /// It was shut down after the last response, with all received input read.
-    InOrder,
-    /// It was shut down after the last response, with received input not read, or closed by the client.
-    UnreadInput,
+    /// The client closed it after the last response.
+    ClosedByClient,
+    /// The client kept it open after the last response, and sent nothing for [`LINGER_IDLE_TIMEOUT`].
+    IdleClient,
+    /// The client was still sending after [`LINGER_TIMEOUT`], or had sent more than [`MAX_DISCARDED_BYTES`].
+    BusyClient,
+    /// It failed after the last response was written.
+    Failed,
 }
 
 impl ConnectionEnd {
@@ -25,8 +47,10 @@
     pub fn name(self) -> &'static str {
         match self {
             ConnectionEnd::Dropped => "dropped",
-            ConnectionEnd::InOrder => "in_order",
-            ConnectionEnd::UnreadInput => "unread_input",
+            ConnectionEnd::ClosedByClient => "closed_by_client",
+            ConnectionEnd::IdleClient => "idle_client",
+            ConnectionEnd::BusyClient => "busy_client",
+            ConnectionEnd::Failed => "failed",
         }
     }
 }
@@ -42,16 +66,80 @@
     }
 }
 
+/// Progress of a lingering close.
+struct Linger {
+    last_input: Instant,
+    ends_at: Instant,
+    discarded_bytes: u64,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl Linger {
+    fn new() -> Self {
+        let now = Instant::now();
+        let timer = Box::pin(sleep_until(now + LINGER_IDLE_TIMEOUT));
+        Linger { last_input: now, ends_at: now + LINGER_TIMEOUT, discarded_bytes: 0, timer }
+    }
+
+    /// Records discarded input.
+    fn record_input(&mut self, bytes: usize) {
+        self.last_input = Instant::now();
+        self.discarded_bytes += bytes as u64;
+    }
+
+    /// The end of a connection that has reached a limit.
+    fn reached_limit(&self) -> Option<ConnectionEnd> {
+        let now = Instant::now();
+        if now >= self.ends_at || self.discarded_bytes > MAX_DISCARDED_BYTES {
+            return Some(ConnectionEnd::BusyClient);
+        }
+        (now >= self.last_input + LINGER_IDLE_TIMEOUT).then_some(ConnectionEnd::IdleClient)
+    }
+
+    /// Waits until the next time limit that no further input would move.
+    fn poll_time_limit(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        self.timer.as_mut().reset(self.ends_at.min(self.last_input + LINGER_IDLE_TIMEOUT));
+        self.timer.as_mut().poll(cx)
+    }
+
+    /// Discards input until the client closes its side or a limit is reached.
+    fn poll_discard(
+        &mut self, io: &mut (impl AsyncRead + Unpin), cx: &mut Context<'_>,
+    ) -> Poll<ConnectionEnd> {
+        loop {
+            if let Some(end) = self.reached_limit() {
+                return Poll::Ready(end);
+            }
+            let mut bytes = [0; DISCARD_BUFFER_BYTES];
+            let mut buffer = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut *io).poll_read(cx, &mut buffer) {
+                Poll::Ready(Ok(())) if buffer.filled().is_empty() => {
+                    return Poll::Ready(ConnectionEnd::ClosedByClient);
+                }
+                Poll::Ready(Ok(())) => self.record_input(buffer.filled().len()),
+                Poll::Ready(Err(_)) => return Poll::Ready(ConnectionEnd::Failed),
+                Poll::Pending => ready!(self.poll_time_limit(cx)),
+            }
+        }
+    }
+}
+
 /// A client's connection.
 pub struct ClientStream<S> {
     io: S,
     record: EndRecord,
+    linger: Option<Linger>,
 }
 
 impl<S: Stream> ClientStream<S> {
-    /// Wraps a connection; its end will be written to `record`.
-    pub fn new(io: S, record: EndRecord) -> Self {
-        ClientStream { io, record }
+    /// Wraps a connection.
+    pub fn new(io: S) -> Self {
+        ClientStream { io, record: EndRecord::default(), linger: None }
+    }
+
+    /// The record of how this connection ends.
+    pub fn record(&self) -> EndRecord {
+        self.record.clone()
     }
 }
 
@@ -72,10 +160,19 @@
         Pin::new(&mut self.io).poll_flush(cx)
     }
 
+    /// Closes the write side, then discards input until the connection may be dropped without a reset.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let end = if self.io.is_idle() { ConnectionEnd::InOrder } else { ConnectionEnd::UnreadInput };
-        self.record.0.set(end);
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        let ClientStream { io, record, linger } = &mut *self;
+        if linger.is_none() {
+            let closed = ready!(Pin::new(&mut *io).poll_shutdown(cx));
+            if closed.is_err() {
+                record.0.set(ConnectionEnd::Failed);
+                return Poll::Ready(closed);
+            }
+        }
+        let end = ready!(linger.get_or_insert_with(Linger::new).poll_discard(io, cx));
+        record.0.set(end);
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
--- a/system/src/proxy.rs
+++ b/system/src/proxy.rs
@@ -28,7 +28,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use oakfall::plane::backends::{Backends, Dial, Stream};
 use oakfall::plane::body::{BodyError, MemoryBudget, ResponseBody, UnreadBody, Upload, MAX_BUFFERED_BYTES};
-use oakfall::plane::client_stream::{ClientStream, EndRecord};
+use oakfall::plane::client_stream::ClientStream;
 use oakfall::plane::deadline::{ClientDeadline, Deadline};
 use oakfall::plane::driver::{
     BackendProtocol, BackendRequest, DiscoveredBackend as DriverBackend, Driver, DriverResources,
@@ -701,8 +701,9 @@
 
     /// Serves a client connection until it closes, and records how it ended.
     pub async fn serve_connection(self: Rc<Self>, stream: impl Stream) {
-        let record = EndRecord::default();
-        let result = self.exchange_requests(ClientStream::new(stream, record.clone())).await;
+        let stream = ClientStream::new(stream);
+        let record = stream.record();
+        let result = self.exchange_requests(stream).await;
         let end = record.end();
         self.metrics.connection_ended(end);
         log::debug!(
--- a/system/tests/shutdown.rs
+++ b/system/tests/shutdown.rs
@@ -7,14 +7,24 @@
     backend, call, config, heartbeat_body, signal, until, Fleet, Gateway, Process, LARGE_RESPONSE_BYTES,
     WAIT_TIMEOUT,
 };
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// How long the client pauses after SIGTERM: longer than the gateway accepts clients (0.45 of its grace of
 /// 6 s), and shorter than until it ends the requests still in flight (0.92 of it).
 const CLIENT_PAUSE: Duration = Duration::from_millis(3500);
 
+/// Receive buffer of a slow client, in bytes: most of a large response waits at the gateway.
+const SLOW_CLIENT_BUFFER_BYTES: usize = 16 * 1024;
+/// Bytes before the end of a response at which a slow client pauses: by then the gateway has written all of it.
+const PAUSE_BEFORE_END_BYTES: usize = 256 * 1024;
+/// The pause of a slow client before the end of a response.
+const END_PAUSE: Duration = Duration::from_millis(500);
+/// Requests sent behind a response: more than the gateway reads ahead.
+const PIPELINED_REQUESTS: usize = 400;
+
 /// Starts one core process, a backend and a gateway, with a configuration.
 fn start_system() -> (Fleet, Process, Gateway) {
     let fleet = Fleet::new(1);
@@ -90,3 +100,76 @@
     assert_eq!(text.matches("HTTP/1.1 502").count(), 2, "not both requests were answered: {text:?}");
     assert!(gateway.proxy.0.wait().expect("an exit status").success());
 }
+
+/// Connects with a small receive buffer.
+fn connect_slowly(gateway: &Gateway) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(SLOW_CLIENT_BUFFER_BYTES).expect("a receive buffer");
+    let addr: SocketAddr = gateway.client_addr.parse().expect("an address");
+    socket.connect(&addr.into()).expect("a connection");
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a read timeout");
+    stream
+}
+
+/// Reads a response with a length, with a pause before its end. Returns its head and the number of body bytes
+/// received.
+fn read_response(mut stream: &TcpStream, pause: Duration) -> (String, usize) {
+    let mut received = Vec::new();
+    let mut buffer = vec![0; PAUSE_BEFORE_END_BYTES / 2];
+    let mut pause = Some(pause);
+    let head_bytes = loop {
+        let read = stream.read(&mut buffer).unwrap_or(0);
+        assert!(read > 0, "no response");
+        received.extend_from_slice(&buffer[..read]);
+        if let Some(end) = received.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            break end + 4;
+        }
+    };
+    let head = String::from_utf8_lossy(&received[..head_bytes]).to_ascii_lowercase();
+    let length = head.split("content-length: ").nth(1).and_then(|rest| rest.lines().next());
+    let length: usize = length.and_then(|text| text.parse().ok()).expect("a length");
+    let mut body_bytes = received.len() - head_bytes;
+    while body_bytes < length {
+        if body_bytes + PAUSE_BEFORE_END_BYTES >= length {
+            pause.take().into_iter().for_each(std::thread::sleep);
+        }
+        match stream.read(&mut buffer) {
+            Ok(read) if read > 0 => body_bytes += read,
+            _ => break,
+        }
+    }
+    (head, body_bytes)
+}
+
+/// A response was reset in its middle when the gateway closed its connection at a shutdown while the client's
+/// further requests were unread or still arriving.
+#[test]
+fn shutdown_completes_a_response_with_requests_behind_it() {
+    let (_fleet, _core, mut gateway) = start_system();
+    let slow = connect_slowly(&gateway);
+    // The backend answers this request once a second one has arrived.
+    (&slow).write_all(request("/s/pair/large").as_bytes()).expect("the request is sent");
+    let metrics = || call(&gateway.ready_addr, "GET", "/metrics", "", "");
+    until("the request in flight", || metrics().filter(|response| response.body.contains("pelion_open 1")));
+    signal(&gateway.proxy, "-TERM");
+    let ready = || call(&gateway.ready_addr, "GET", "/api/ready", "", "");
+    until("the shutdown", || ready().filter(|response| response.status == 503));
+
+    let mut behind = slow.try_clone().expect("a socket");
+    let pipelining = std::thread::spawn(move || {
+        // The gateway stops reading at some point: the rest waits in the sockets' buffers.
+        (0..PIPELINED_REQUESTS).all(|_| behind.write_all(request("/s/small").as_bytes()).is_ok())
+    });
+    let other = std::thread::spawn({
+        let stream = send_request(&gateway, "/s/pair/large");
+        move || read_response(&stream, Duration::ZERO)
+    });
+    let (head, body_bytes) = read_response(&slow, END_PAUSE);
+    assert!(head.contains("connection: close"), "{head}");
+    assert_eq!(body_bytes, LARGE_RESPONSE_BYTES, "the response was truncated");
+    assert_eq!(other.join().expect("the other client").1, LARGE_RESPONSE_BYTES);
+    drop(slow);
+    pipelining.join().expect("the pipelining client");
+    assert!(gateway.proxy.0.wait().expect("an exit status").success());
+}
