Gateway in service: a response cut off at a shutdown, with requests behind it

The same cause as in the proxy, on the other front end: the gateway closes a client's socket right after the last byte of a response with Connection: close, and the kernel resets the connection if more requests are unread or arrive later.

Clients of the gateway now have a ClientStream, too. At the end of the program it waits for closing connections for the linger's idle time, within the time in which it has to answer: sockets that the end of a process closes are reset in the same way. That idle time is 1 s instead of 2 s, so that a client that never closes delays the end by no more.

--- a/src/bin/gateway/gateway.rs
+++ b/src/bin/gateway/gateway.rs
@@ -14,6 +14,7 @@
 use crate::tables::Tables;
 use oakfall::plane::backends::Backends;
 use oakfall::plane::body::MemoryBudget;
+use oakfall::plane::client_stream::LINGER_IDLE_TIMEOUT;
 use oakfall::plane::driver::{CounterCall, Driver, DriverResources, MessageSender};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -229,8 +230,8 @@
     driver.fail_all();
     cluster.leave();
     // All permits are free once the last connection has closed; idle ones may remain open.
-    let _ =
-        timeout_at(Instant::now() + WRITE_TIMEOUT, client_permits.acquire_many(max_connections as u32)).await;
+    let closed_by = (Instant::now() + LINGER_IDLE_TIMEOUT).min(answer_by).max(Instant::now()) + WRITE_TIMEOUT;
+    let _ = timeout_at(closed_by, client_permits.acquire_many(max_connections as u32)).await;
     Ok(())
 }
 
--- a/src/bin/gateway/server.rs
+++ b/src/bin/gateway/server.rs
@@ -16,6 +16,7 @@
     BodyError, MemoryBudget, MemoryReservation, ResponseBody, UnreadBody, Upload, MAX_BUFFERED_BYTES,
     MAX_REQUEST_BODY_BYTES,
 };
+use oakfall::plane::client_stream::ClientStream;
 use oakfall::plane::deadline::{ClientDeadline, Deadline};
 use oakfall::plane::driver::{
     AttemptSummary, BackendRequest, Driver, FinalResponse, RequestInfo, ResponseReceiver,
@@ -452,7 +453,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
             .max_buf_size(READ_BUFFER_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(ClientStream::new(stream)), service);
         let mut connection = std::pin::pin!(connection);
         // Errors of a client connection need no handling.
         tokio::select! {
--- a/src/plane/client_stream.rs
+++ b/src/plane/client_stream.rs
@@ -18,7 +18,7 @@
 use tokio::time::{sleep_until, Instant, Sleep};
 
 /// A closing connection ends once its client has sent nothing for this long.
-pub const LINGER_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+pub const LINGER_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time for which a closing connection discards input.
 pub const LINGER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum input that a closing connection discards; a client may still be sending a body that was refused.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,6 +4,7 @@
 mod harness;
 
 use harness::*;
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
@@ -424,6 +425,54 @@
     assert!(gateway.log.iter().all(|line| !line.contains("panic")));
 }
 
+/// Connects with a small receive buffer, so that most of a large response waits at the gateway.
+fn connect_slowly(gateway: &Gateway) -> BufReader<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    socket.connect(&gateway.addr.into()).unwrap();
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    BufReader::new(stream)
+}
+
+/// A response was reset in its middle when the gateway closed its connection at a shutdown while the client's
+/// further requests were unread or still arriving.
+#[test]
+fn sigterm_completes_a_response_with_requests_behind_it() {
+    const LENGTH: usize = 20_000_000;
+    const PAUSE_BEFORE_END_BYTES: usize = 256 * 1024;
+    let (begun_tx, begun) = channel();
+    let (resume_tx, resume_rx) = channel::<()>();
+    let resume_rx = Mutex::new(resume_rx);
+    let addr = serve_one_per_connection(move |_, stream| {
+        let _ = begun_tx.send(());
+        let _ = resume_rx.lock().unwrap().recv_timeout(TEST_TIMEOUT);
+        let head = format!("HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: {LENGTH}\r\n\r\n");
+        stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&pattern(LENGTH))).unwrap();
+    });
+    let mut gateway = Gateway::new(&basic_config(&[addr]));
+    let mut open = connect_slowly(&gateway);
+    open.get_mut().write_all(get_request(1, 1, 3000).as_bytes()).unwrap();
+    begun.recv_timeout(TEST_TIMEOUT).unwrap();
+    gateway.signal("-TERM");
+    while gateway.request("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200 {}
+    // More than the gateway reads ahead: the rest stays in the socket.
+    open.get_mut().write_all(get_request(1, 1, 3000).repeat(300).as_bytes()).unwrap();
+    resume_tx.send(()).unwrap();
+    let mut head = String::new();
+    while open.read_line(&mut head).unwrap() > 2 {}
+    assert!(head.to_ascii_lowercase().contains("connection: close"), "{head}");
+    let mut body = vec![0; LENGTH];
+    let (first, last) = body.split_at_mut(LENGTH - PAUSE_BEFORE_END_BYTES);
+    open.read_exact(first).unwrap();
+    // By the end of the pause the gateway has written the whole response.
+    std::thread::sleep(Duration::from_millis(500));
+    open.read_exact(last).expect("the end of the response");
+    assert!(body == pattern(LENGTH));
+    drop(open);
+    assert!(gateway.child.wait().unwrap().success());
+}
+
 #[test]
 fn sighup_switches_to_the_configured_addresses() {
     let ((one, _), (two, got)) = (healthy_backend(), healthy_backend());
