A refusal lost while its client still sends the body

The same cause on a third path: a request refused by its head or for its size (401, 413) is answered with most of its body unread. The socket was then closed, and the kernel's reset cost the client its answer: writing failed with EPIPE, and what had arrived of the refusal was dropped. Operators lost the 413 of a configuration over 16 MiB in this way.

Now every HTTP server of the programs has it: the core's calls, the proxy's readiness and metrics, the gateway's operator port.

--- a/src/bin/gateway/operator.rs
+++ b/src/bin/gateway/operator.rs
@@ -15,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use oakfall::plane::client_stream::ClientStream;
 use oakfall::plane::warning_limiter::{warn_limited, WarningLimiter};
 use serde::Serialize;
 use std::convert::Infallible;
@@ -112,7 +113,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .keep_alive(false)
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(ClientStream::new(stream)), service)
         .await
 }
 
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -20,6 +20,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use miniserde::json;
+use oakfall::plane::client_stream::ClientStream;
 use oakfall::Millis;
 use prost::Message;
 use std::cell::{Cell, RefCell};
@@ -479,7 +480,7 @@
                 let connection = http1::Builder::new()
                     .timer(TokioTimer::new())
                     .header_read_timeout(HEAD_TIMEOUT)
-                    .serve_connection(TokioIo::new(stream), service);
+                    .serve_connection(TokioIo::new(ClientStream::new(stream)), service);
                 // The client may disconnect at any time.
                 let _ = connection.await;
             });
--- a/system/src/proxy.rs
+++ b/system/src/proxy.rs
@@ -561,7 +561,7 @@
                 let connection = http1::Builder::new()
                     .timer(TokioTimer::new())
                     .header_read_timeout(READ_TIMEOUT)
-                    .serve_connection(TokioIo::new(stream), service);
+                    .serve_connection(TokioIo::new(ClientStream::new(stream)), service);
                 // The caller retries after an error.
                 let _ = connection.await;
             });
--- a/system/tests/processes/mod.rs
+++ b/system/tests/processes/mod.rs
@@ -239,6 +239,23 @@
     }
 }
 
+/// Starts one core process, a backend and a gateway, with a configuration.
+pub fn start_system() -> (Fleet, Process, Gateway) {
+    let fleet = Fleet::new(1);
+    let core = fleet.core(0, true);
+    let control = fleet.seeds[0].as_str();
+    let configuration = config(3, "0", r#""k1""#);
+    let put = || {
+        call(control, "POST", "/api/Config.Put", "", &configuration).filter(|response| response.status == 200)
+    };
+    until("an acknowledgement", put);
+    let (server, _received) = backend();
+    let heartbeat = || call(control, "POST", "/api/Instances.Beat/i-1", "", &heartbeat_body(&server, 1));
+    until("the backend's acknowledgement", || heartbeat().filter(|response| response.status == 200));
+    let gateway = fleet.gateway("gateway", "127.0.0.5");
+    (fleet, core, gateway)
+}
+
 pub fn start(program: &str, settings: &Path) -> Process {
     let mut command = Command::new(program);
     command.arg("run").arg("--settings").arg(settings).args(["--log", "warn"]);
--- a/system/tests/shutdown.rs
+++ b/system/tests/shutdown.rs
@@ -3,10 +3,7 @@
 
 mod processes;
 
-use processes::{
-    backend, call, config, heartbeat_body, signal, until, Fleet, Gateway, Process, LARGE_RESPONSE_BYTES,
-    WAIT_TIMEOUT,
-};
+use processes::{call, signal, start_system, until, Gateway, LARGE_RESPONSE_BYTES, WAIT_TIMEOUT};
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -25,23 +22,6 @@
 /// Requests sent behind a response: more than the gateway reads ahead.
 const PIPELINED_REQUESTS: usize = 400;
 
-/// Starts one core process, a backend and a gateway, with a configuration.
-fn start_system() -> (Fleet, Process, Gateway) {
-    let fleet = Fleet::new(1);
-    let core = fleet.core(0, true);
-    let control = fleet.seeds[0].as_str();
-    let configuration = config(3, "0", r#""k1""#);
-    let put = || {
-        call(control, "POST", "/api/Config.Put", "", &configuration).filter(|response| response.status == 200)
-    };
-    until("an acknowledgement", put);
-    let (server, _received) = backend();
-    let heartbeat = || call(control, "POST", "/api/Instances.Beat/i-1", "", &heartbeat_body(&server, 1));
-    until("the backend's acknowledgement", || heartbeat().filter(|response| response.status == 200));
-    let gateway = fleet.gateway("gateway", "127.0.0.5");
-    (fleet, core, gateway)
-}
-
 fn request(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 1\r\nDeadline-Ms: 30000\r\n\r\n")
 }
