Soak: pipelining clients that read slowly, and series of signals

The soak had clients with one small request at a time, so it could not see a response that is cut off while requests are behind it; its gateways got one SIGTERM or one SIGHUP.

Each gateway now also has a client that asks for 540,000 bytes, sends requests behind it until the response begins, and reads at some 50 Mbit/s: each request that the backend received must get a complete response, unless the proxy was killed or paused. A gateway that ends gets SIGHUP and SIGTERM again and again until both processes are gone, a reload is three SIGHUPs, and GATEWAYS sets the number of gateways (faults at once: a third of it).

--- a/system/tests/processes/mod.rs
+++ b/system/tests/processes/mod.rs
@@ -81,8 +81,14 @@
 /// Size of a large response: more than the socket buffers hold.
 pub const LARGE_RESPONSE_BYTES: usize = 48 << 20;
 
+/// Size of a bundle: more than a gateway buffers.
+pub const BUNDLE_BYTES: usize = 540_000;
+/// Time that a backend works on a bundle.
+const BUNDLE_WORK: Duration = Duration::from_millis(150);
+
 /// Starts a backend. Returns its address and the requests that it receives. Requests whose head contains
-/// `/pair` are answered once two have arrived, `/large` gets a large response, and `/silent` none.
+/// `/pair` are answered once two have arrived, `/bundle` gets a bundle after some work, `/large` a large
+/// response, and `/silent` none.
 pub fn backend() -> (String, Receiver<String>) {
     let pairs = Arc::new(Barrier::new(2));
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -121,11 +127,19 @@
                         pairs.wait();
                     }
                     let (large, silent) = (head.contains("/large"), head.contains("/silent"));
+                    let bundle = head.contains("/bundle");
                     let _ = sender.send(head + "\r\n" + &String::from_utf8_lossy(&body));
                     if silent {
                         continue;
                     }
-                    let body = if large { vec![b'x'; LARGE_RESPONSE_BYTES] } else { b"hello".to_vec() };
+                    if bundle {
+                        std::thread::sleep(BUNDLE_WORK);
+                    }
+                    let body = match (large, bundle) {
+                        (true, _) => vec![b'x'; LARGE_RESPONSE_BYTES],
+                        (_, true) => vec![b'x'; BUNDLE_BYTES],
+                        _ => b"hello".to_vec(),
+                    };
                     let length = body.len();
                     let response = format!(
                         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nStamp: s.1\r\nX-Own: 7\r\nContent-Length: {length}\r\n\r\n"
--- a/system/tests/soak.rs
+++ b/system/tests/soak.rs
@@ -1,15 +1,19 @@
 //! Fault injection with real processes on loopback: core processes, agents and proxies are killed, paused,
 //! partitioned, wiped and terminated, with faults overlapping, while the guarantees to operators and clients
-//! are checked. `HISTORIES` is the number of seeds to run, `SEED` the first one, `SOAK_S` the seconds of
-//! faults for each.
+//! are checked. Clients use their connections until these are closed, signals come in series, and both overlap
+//! with other faults and with changes of the configuration. `HISTORIES` is the number of seeds to run, `SEED` the
+//! first one, `SOAK_S` the seconds of faults for each, `GATEWAYS` the number of gateways.
 
 #[path = "soak/callers.rs"]
 mod callers;
+#[path = "soak/pipelining.rs"]
+mod pipelining;
 mod processes;
 #[path = "soak/relay.rs"]
 mod relay;
 
 use callers::{edition_at, Results};
+use pipelining::PipeliningClient;
 use processes::{
     backend, call, config, free_inner_ports, free_port, heartbeat_body, signal, start, until, Fleet, Process,
 };
@@ -22,9 +26,16 @@
 use std::time::{Duration, Instant};
 
 const CORES: usize = 3;
-const GATEWAYS: usize = 2;
-/// Faults that may be active at once.
-const MAX_ACTIVE_FAULTS: usize = 3;
+/// Gateways unless `GATEWAYS` is set.
+const DEFAULT_GATEWAYS: u64 = 2;
+/// Seeds unless `HISTORIES` is set.
+const DEFAULT_HISTORIES: u64 = 4;
+/// Seconds of faults for each seed unless `SOAK_S` is set.
+const DEFAULT_SOAK_S: u64 = 12;
+/// Faults that may be active at once in a small system; in larger ones, a third of the gateways.
+const MIN_ACTIVE_FAULTS: usize = 3;
+/// SIGHUPs sent at once.
+const HANGUPS: usize = 3;
 /// By then the leader has noticed a wiped disk: it counts a member as in contact for 1.5 s after a message.
 const WIPE_DETECTION: Duration = Duration::from_secs(2);
 /// Longest recovery after the last fault.
@@ -90,9 +101,9 @@
 }
 
 impl Fault {
-    fn random(rng: &mut fastrand::Rng) -> Self {
-        let (core, gateway) = (rng.usize(0..CORES), rng.usize(0..GATEWAYS));
-        match rng.u32(0..12) {
+    fn random(rng: &mut fastrand::Rng, gateways: usize) -> Self {
+        let (core, gateway) = (rng.usize(0..CORES), rng.usize(0..gateways));
+        match rng.u32(0..14) {
             0 | 1 => Fault::KillCore(core),
             2 => Fault::PauseCore(core),
             3 => Fault::PartitionCore { core, outgoing: true, incoming: true },
@@ -102,7 +113,7 @@
             7 => Fault::KillProxy(gateway),
             8 => Fault::PauseProxy(gateway),
             9 => Fault::PartitionGateway(gateway),
-            10 => Fault::TerminateGateway(gateway),
+            10..=12 => Fault::TerminateGateway(gateway),
             _ => Fault::ReloadGateway(gateway),
         }
     }
@@ -140,14 +151,26 @@
     format!("127.0.0.{}", machine + 2)
 }
 
+/// Inner ports that no other node uses.
+fn distinct_inner_ports(fleet: &Fleet) -> u16 {
+    let used: Vec<u16> = fleet.inner_ports.values().copied().chain([fleet.inner_port]).collect();
+    loop {
+        let ports = free_inner_ports();
+        if used.iter().all(|other| other.abs_diff(ports) > 1) {
+            return ports;
+        }
+    }
+}
+
 impl System {
-    fn new() -> Self {
+    fn new(gateways: usize) -> Self {
         let mut fleet = Fleet::new(CORES);
         let mut links = Vec::new();
-        for from in 0..CORES + GATEWAYS {
+        for from in 0..CORES + gateways {
             let name = if from < CORES { format!("core{from}") } else { format!("gateway{}", from - CORES) };
             if from >= CORES {
-                fleet.inner_ports.insert(name.clone(), free_inner_ports());
+                let ports = distinct_inner_ports(&fleet);
+                fleet.inner_ports.insert(name.clone(), ports);
             }
             let inner_port = fleet.inner_ports.get(&name).copied().unwrap_or(fleet.inner_port);
             for to in (0..CORES).filter(|to| *to != from) {
@@ -161,7 +184,7 @@
         let cores: Vec<_> = (0..CORES).map(core).collect();
         let (mut client_addrs, mut ready_addrs) = (Vec::new(), Vec::new());
         let (mut agents, mut proxies) = (Vec::new(), Vec::new());
-        for gateway in 0..GATEWAYS {
+        for gateway in 0..gateways {
             let ip = ip(CORES + gateway);
             let (front, ready) = (format!("{ip}:{}", free_port(&ip)), format!("{ip}:{}", free_port(&ip)));
             let docks = format!("    front: \"{front}\"\n    ready: \"{ready}\"\n");
@@ -211,17 +234,16 @@
             Fault::KillProxy(n) => self.proxies[n].kill(),
             Fault::PauseProxy(n) => self.proxies[n].signal("-STOP"),
             Fault::PartitionGateway(n) => self.partition(CORES + n, true, true, true),
-            Fault::TerminateGateway(n) => {
-                self.proxies[n].signal("-TERM");
-                self.agents[n].signal("-TERM");
-            }
-            Fault::ReloadGateway(n) => {
-                self.proxies[n].signal("-HUP");
-                self.agents[n].signal("-HUP");
-            }
+            Fault::TerminateGateway(n) => self.signal_gateway(n, "-TERM"),
+            Fault::ReloadGateway(n) => (0..HANGUPS).for_each(|_| self.signal_gateway(n, "-HUP")),
         }
     }
 
+    fn signal_gateway(&self, gateway: usize, name: &str) {
+        self.proxies[gateway].signal(name);
+        self.agents[gateway].signal(name);
+    }
+
     /// Recovers from a fault. False if the recovery is not complete yet.
     fn recover(&mut self, fault: Fault) -> bool {
         match fault {
@@ -245,6 +267,13 @@
             Fault::PartitionGateway(n) => self.partition(CORES + n, true, true, false),
             Fault::TerminateGateway(n) => {
                 if !self.proxies[n].has_exited() || !self.agents[n].has_exited() {
+                    // Signals keep coming until both processes are gone.
+                    for node in [&mut self.proxies[n], &mut self.agents[n]] {
+                        if !node.has_exited() {
+                            node.signal("-HUP");
+                            node.signal("-TERM");
+                        }
+                    }
                     return false;
                 }
                 for node in [&mut self.agents[n], &mut self.proxies[n]] {
@@ -289,11 +318,12 @@
 /// Returns their number.
 fn inject_faults(rng: &mut fastrand::Rng, system: &mut System, results: &Results, duration_s: f64) -> usize {
     let started = Instant::now();
+    let max_active = MIN_ACTIVE_FAULTS.max(system.proxies.len() / 3);
     let mut active: Vec<(Fault, Instant)> = Vec::new();
     let mut count = 0;
     loop {
         let over = started.elapsed().as_secs_f64() > duration_s;
-        let fault = Fault::random(rng);
+        let fault = Fault::random(rng, system.proxies.len());
         let faulty_cores = active.iter().filter(|(other, _)| other.machine() < CORES).count();
         let wiping = active.iter().any(|(other, _)| matches!(other, Fault::WipeCore(_)));
         let allowed = match fault {
@@ -303,7 +333,7 @@
             _ => fault.machine() >= CORES || !wiping,
         };
         let free = !active.iter().any(|(other, _)| other.machine() == fault.machine());
-        if !over && allowed && free && active.len() < MAX_ACTIVE_FAULTS {
+        if !over && allowed && free && active.len() < max_active {
             system.inject(fault);
             let duration = Duration::from_secs_f64(0.1 + 2.5 * rng.f64() * rng.f64());
             active.push((fault, Instant::now() + duration));
@@ -330,7 +360,8 @@
                 return;
             }
             let core = &cores[postmark as usize % cores.len()];
-            drop(call(core, "POST", "/api/Instances.Beat/i-1", "", &heartbeat_body(&server, postmark)));
+            let body = heartbeat_body(&server, postmark).replace("\"berths\":2", "\"berths\":200");
+            drop(call(core, "POST", "/api/Instances.Beat/i-1", "", &body));
             thread::park_timeout(Duration::from_millis(300));
         }
     });
@@ -338,18 +369,21 @@
         for request in requests {
             let request = request.to_ascii_lowercase();
             let id = request.split("request-id: ").nth(1).and_then(|rest| rest.split("\r\n").next());
-            if let Some(id) = id.filter(|_| request.starts_with("post ")) {
-                *results.runs.lock().expect("not poisoned").entry(id.to_owned()).or_default() += 1;
+            let Some(id) = id.map(str::to_owned) else { continue };
+            if request.starts_with("post ") {
+                *results.runs.lock().expect("not poisoned").entry(id).or_default() += 1;
+            } else {
+                results.safe_runs.lock().expect("not poisoned").insert(id);
             }
         }
     });
 }
 
 /// Runs one seed: faults, recovery, and the final checks.
-fn run_history(seed: u64, duration_s: f64) {
+fn run_history(seed: u64, duration_s: f64, gateways: usize) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let results = Arc::new(Results::default());
-    let mut system = System::new();
+    let mut system = System::new(gateways);
     let cores = system.fleet.seeds.clone();
     let first = config(1, "0", r#""k1""#);
     let put = || call(&cores[0], "POST", "/api/Config.Put", "", &first).filter(|a| a.status == 200);
@@ -367,7 +401,10 @@
         let (address, shared, interruptions) =
             (address.clone(), results.clone(), system.proxies[number].interruptions.clone());
         let client_seed = seed * 10 + number as u64;
+        let pipelining = PipeliningClient { gateway: address.clone(), interruptions: interruptions.clone() };
         callers.push(thread::spawn(move || callers::run_client(client_seed, address, interruptions, shared)));
+        let shared = results.clone();
+        callers.push(thread::spawn(move || pipelining.run(client_seed, &shared)));
     }
 
     let faults = inject_faults(&mut rng, &mut system, &results, duration_s);
@@ -413,24 +450,28 @@
     }
     let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
     println!(
-        "seed {seed}: {faults} faults, {} changes ({} responses lost), {} reads, {} of {} requests served",
+        "seed {seed}: {gateways} gateways, {faults} faults, {} changes ({} responses lost), {} reads, {} of {} requests \
+         served, {} responses to pipelining clients",
         count(&results.changes),
         count(&results.lost_responses),
         count(&results.reads),
         count(&results.served),
-        count(&results.sent)
+        count(&results.sent),
+        count(&results.pipelined)
     );
     let failures = results.failures.lock().expect("not poisoned");
     assert!(failures.is_empty(), "seed {seed}: {failures:#?}");
     assert!(count(&results.served) > 0, "seed {seed}: no request was served");
+    assert!(count(&results.pipelined) > 0, "seed {seed}: no pipelined request was answered");
 }
 
 #[test]
 fn guarantees_hold_under_overlapping_faults() {
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
-    let (first, seeds) = (number("SEED").unwrap_or(1), number("HISTORIES").unwrap_or(1));
-    let duration_s = number("SOAK_S").unwrap_or(8) as f64;
+    let (first, seeds) = (number("SEED").unwrap_or(1), number("HISTORIES").unwrap_or(DEFAULT_HISTORIES));
+    let duration_s = number("SOAK_S").unwrap_or(DEFAULT_SOAK_S) as f64;
+    let gateways = number("GATEWAYS").unwrap_or(DEFAULT_GATEWAYS) as usize;
     for seed in first..first + seeds {
-        run_history(seed, duration_s);
+        run_history(seed, duration_s, gateways);
     }
 }
--- a/system/tests/soak/callers.rs
+++ b/system/tests/soak/callers.rs
@@ -25,6 +25,10 @@
     pub sent: AtomicU64,
     /// Executions of each request at the backend, by request ID.
     pub runs: Mutex<BTreeMap<String, u32>>,
+    /// IDs of safe requests that the backend received.
+    pub safe_runs: Mutex<BTreeSet<String>>,
+    /// Responses that pipelining clients received completely.
+    pub pipelined: AtomicU64,
     /// IDs of requests whose response promises that they have not run and never will.
     pub not_run: Mutex<BTreeSet<String>>,
     /// Failed checks.
