Comments: reasons and figures that the rewording left out

The comments of all files of src/choice and of all constants of system/src were compared before and after; what is put back was in the old comment and still holds, in today's names. No code is changed.

--- a/src/choice/admission.rs
+++ b/src/choice/admission.rs
@@ -108,7 +108,7 @@
         self.finish(id, retry_ms, Reason::Quota, actions);
     }
 
-    /// Expected latency of a request admitted now: requests in flight over responses per second.
+    /// Expected latency: requests in flight over responses per second, so each admission raises it at once.
     pub(super) fn expected_latency(&mut self, now: Millis, id: RequestId) -> f64 {
         let Some(open) = self.requests.get(&id) else { return f64::INFINITY };
         let pool = open.request.pool;
--- a/src/choice/counting.rs
+++ b/src/choice/counting.rs
@@ -7,7 +7,7 @@
 use crate::state::*;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Calls to the shared counter, at a rate that adapts to slow and failed calls.
+/// Calls to the shared counter. No gateway knows its capacity: each adapts its rate to its missed calls.
 #[derive(Default)]
 pub(super) struct CounterClient {
     /// Calls in flight, by the key of the count.
@@ -254,7 +254,7 @@
         (customer.usage, customer.usage_at) = (Some(usage), now);
     }
 
-    /// Grants or refuses a request that waited. Returns false if it is over the quota.
+    /// Grants or refuses a request that waited; without a total, own usage is a lower bound. False if over.
     pub(super) fn decide_waiting(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(open) = self.requests.get(&id).filter(|open| open.waiting) else { return true };
         let (request, asked_peer) = (open.request.clone(), open.asked_peer);
--- a/src/choice/tuning.rs
+++ b/src/choice/tuning.rs
@@ -1,23 +1,24 @@
 //! Tuning constants of the decisions.
 
 /// Usage decays by a factor e in this many times burst / rate, and a customer's limit is this many bursts.
+/// Larger values tolerate random arrivals better, smaller ones limit sudden bursts better.
 pub(super) const USAGE_DECAY: f64 = 1.25;
-/// Length of a counting window, in decay times of its usage.
+/// Length of a counting window, in decay times. Usage at its end goes unread, so long windows are better.
 pub(super) const WINDOW_DECAYS: f64 = 20.0;
-/// Longest counting window. A count outlives its window by the difference to `MAX_COUNT_LIFETIME_MS`.
+/// Longest counting window. A count outlives it; the counter keeps one for `MAX_COUNT_LIFETIME_MS` at most.
 pub(super) const MAX_WINDOW_MS: f64 = 50_000.0;
 pub(super) const MAX_COUNT_LIFETIME_MS: f64 = 60_000.0;
 /// Longest waits for the counter and for a peer's response, as shares of the latency target.
 pub(super) const COUNTER_WAIT_SHARE: f64 = 0.05;
 pub(super) const PEER_WAIT_SHARE: f64 = 0.1;
-/// The wait for the counter extends to this many of its shortest round trips, up to this share of the target.
+/// The wait may be this many shortest round trips, up to this share: a distant counter is worth waiting for.
 pub(super) const COUNTER_WAIT_RTTS: f64 = 1.5;
 pub(super) const MAX_COUNTER_WAIT_SHARE: f64 = 0.12;
 /// The shortest round trip doubles in this time without another sample.
 pub(super) const MIN_RTT_MEMORY_MS: f64 = 30_000.0;
 /// After this many consecutive slow or failed calls, requests no longer wait for the counter.
 pub(super) const MAX_COUNTER_MISSES: u32 = 3;
-/// Initial call rate of one gateway, at most, and of all together.
+/// Initial call rate of one gateway, at most, and of all; the minimum still notices a counter's recovery.
 pub(super) const INITIAL_CALLS_PER_S: f64 = 10.0;
 pub(super) const INITIAL_FLEET_CALLS_PER_S: f64 = 300.0;
 pub(super) const MIN_CALLS_PER_S: f64 = 0.2;
@@ -28,29 +29,29 @@
 pub(super) const CALL_RATE_STEP_PER_S: f64 = 0.02;
 pub(super) const CALL_RATE_GROWTH: f64 = 0.02;
 pub(super) const CALL_RATE_START_GROWTH: f64 = 0.1;
-/// Capacity of the token bucket of counter calls, in ms of the call rate.
+/// Capacity of the token bucket of counter calls, in ms of the call rate: evens out random variation.
 pub(super) const CALL_BUCKET_MS: f64 = 500.0;
 pub(super) const MIN_CALL_BUCKET: f64 = 2.0;
-/// Time constant of the averages of requests in flight and responses per second.
+/// Time constant of the averages of requests in flight and responses per second: some dozens of requests.
 pub(super) const LOAD_AVERAGE_MS: f64 = 1500.0;
-/// Responses within that time at which these averages get half the weight in an estimate.
+/// Responses within that time at which these get half the weight in an estimate, the target share the rest.
 pub(super) const LOAD_HALF_WEIGHT_RESPONSES: f64 = 20.0;
 /// Factor on the mean share of the latency target in an estimate: it lags, being known after the response.
 pub(super) const TARGET_SHARE_FACTOR: f64 = 1.5;
-/// Time constant of the average of peer usage.
+/// Time constant of the average of peer usage: a few requests of a customer.
 pub(super) const PEER_USAGE_MS: f64 = 2000.0;
 /// Peer usage is extrapolated for at most this long after the last total.
 pub(super) const MAX_PROJECTION_MS: f64 = 10_000.0;
-/// Customers and unlisted backends are forgotten after this time without use.
+/// Unused customers and unlisted backends are forgotten after this time; token buckets are full by then.
 pub(super) const IDLE_EXPIRY_MS: f64 = 60_000.0;
 /// Requests of other gateways assumed to be at each backend.
 pub(super) const ASSUMED_PEER_REQUESTS: f64 = 1.0;
-/// Weight of one sample in a backend's relative latency, and in a pool's mean share of the latency target.
+/// Weight of a sample in a backend's relative latency and a pool's target share: about the last ten count.
 pub(super) const RELATIVE_LATENCY_GAIN: f64 = 0.1;
 pub(super) const TARGET_SHARE_GAIN: f64 = 0.1;
 /// A relative latency without new samples returns to 1 with this time constant.
 pub(super) const RELATIVE_LATENCY_MEMORY_MS: f64 = 10_000.0;
-/// Weight of one sample in the mean latency of a class and the mean units of a request.
+/// Weight of a sample in a class's mean latency and a request's mean units: about the last hundred count.
 pub(super) const MEAN_GAIN: f64 = 0.01;
 /// Latency of a class before any sample, as a share of its latency target.
 pub(super) const INITIAL_LATENCY_SHARE: f64 = 0.2;
@@ -58,7 +59,8 @@
 pub(super) const SILENCE_LATENCIES: f64 = 3.0;
 /// Random part of a backend's cost, in mean latencies, so that gateways do not all choose the same one.
 pub(super) const COST_JITTER: f64 = 0.05;
-/// Least number of backends in a gateway's subset, and of gateways whose subsets contain a backend.
+/// Least number of backends in a gateway's subset, so that connections stay open and their latency is known,
+/// and of gateways whose subsets contain a backend, so that none depends on a few.
 pub(super) const MIN_SUBSET_BACKENDS: f64 = 12.0;
 pub(super) const MIN_GATEWAYS_PER_BACKEND: f64 = 10.0;
 /// Cost of a backend outside the subset, and reduction for one with a warm-up token, in mean latencies.
@@ -70,7 +72,8 @@
 pub(super) const RESET_POINTS: u32 = 1;
 /// First ejection time; doubles with each failed trial, up to 32-fold.
 pub(super) const EJECTION_MS: f64 = 500.0;
-/// Weight of one response in a backend's error rate, and time constant of its decay without responses.
+/// Weight of one response in a backend's error rate, and time constant of its decay without responses. A
+/// backend that fails every other request rarely fails several in a row, and it fails quickly.
 pub(super) const ERROR_RATE_GAIN: f64 = 0.3;
 pub(super) const ERROR_RATE_MEMORY_MS: f64 = 10_000.0;
 /// Factor of the error rate in a backend's cost, for requests that can be retried and others.
@@ -101,7 +104,7 @@
 pub(super) const CERTAIN_GATEWAYS: f64 = 10.0;
 /// No request over its quota is sent for this long after a refusal for lack of capacity.
 pub(super) const OVERLOAD_MEMORY_MS: f64 = LOAD_AVERAGE_MS;
-/// Time constant with which the assumed number of gateways falls: missing ones may only be unreachable.
+/// Time constant with which the gateway count falls: missing ones may still send, and clients move slowly.
 pub(super) const GATEWAY_DECREASE_MS: f64 = 10_000.0;
 pub(super) const LOG_SUMMARY_TICKS: u32 = 10;
 /// Share of `cold_per_s` that a gateway uses.
--- a/system/src/member/joining.rs
+++ b/system/src/member/joining.rs
@@ -21,15 +21,18 @@
 }
 
 /// Maximum age of a forwarded call, counted from the sending of the last leader message that its sender had
-/// received. Well below the 1000 ms after which a caller retries elsewhere.
+/// received. Such a message comes every 100 ms and takes up to 55 ms between regions. Well below the 1000 ms
+/// after which a caller retries elsewhere.
 pub(super) const MAX_FORWARD_AGE_MS: Millis = 700.0;
 /// No call is forwarded to a leader from which nothing was received for this long. The limit tolerates two
 /// lost heartbeats and is below the election timeout.
 const LEADER_SILENCE_MS: Millis = 400.0;
 /// No call is forwarded to a leader that has received nothing from this process for this long: the link to
-/// the leader may be down.
+/// the leader may be down. Its messages are answered every 100 ms, an answer takes up to 100 ms between
+/// regions, and one may be late.
 const UNHEARD_BY_LEADER_MS: Millis = 500.0;
-/// A process with this many learners rejects further requests to join from unknown processes.
+/// A process with this many learners rejects further requests to join from unknown processes. A system has at
+/// most nine core machines.
 const MAX_JOINING: usize = 9;
 /// Retry-after time of a call that the leader refused.
 const RETRY_AFTER_MS: u64 = 200;
--- a/system/src/member/mod.rs
+++ b/system/src/member/mod.rs
@@ -37,7 +37,8 @@
 pub const TICK_MS: Millis = 25.0;
 /// Interval of the maintenance rounds; see [`Member::run_maintenance`].
 const MAINTENANCE_INTERVAL_TICKS: u32 = 20;
-/// Interval at which the leader sends its state digest to the other members.
+/// Interval at which the leader sends its state digest to the other members: 5 s, as a difference is a rare
+/// fault.
 const DIGEST_INTERVAL_TICKS: u32 = 200;
 /// Interval at which a member without a leader logs the reason.
 const LEADERLESS_LOG_INTERVAL_TICKS: u32 = 80;
@@ -51,8 +52,8 @@
 /// The log is compacted at each index that is a multiple of this, so that all members have equal snapshots at
 /// equal indices (apart from remaining warm-up times and the ages of ended evacuations).
 const COMPACTION_INTERVAL: u64 = 512;
-/// The log is also compacted at this size, as entries may hold large configurations. All members reach the
-/// size at the same index.
+/// The log is also compacted at this size, as entries may hold large configurations: with some MiB each,
+/// 512 would exceed the memory of the process. All members reach the size at the same index.
 const MAX_LOG_BYTES: usize = 8 << 20;
 /// A leader hands over after this many consecutive maintenance rounds in which it was poorly connected to the
 /// agents; see [`RaftNode::is_poorly_connected`]. After a start, agents take some rounds to connect.
--- a/system/src/member/presence.rs
+++ b/system/src/member/presence.rs
@@ -24,7 +24,8 @@
 const COLD_TOLERANCE_MS: Millis = 400.0;
 /// Maximum number of addresses in one resolve response.
 const MAX_ADDRESSES: usize = 64;
-/// With fewer ready gateways than this in the client's region, gateways of all regions are returned.
+/// With fewer ready gateways than this in the client's region, gateways of all regions are returned: one may
+/// fail.
 const MIN_ADDRESSES: usize = 2;
 /// Longest time that a client may use a resolve response, unless the settings limit it further.
 const MAX_TTL: Duration = Duration::from_secs(2);
--- a/system/src/member/push.rs
+++ b/system/src/member/push.rs
@@ -8,7 +8,7 @@
 use oakfall::Millis;
 
 /// Minimum interval between pushes of changes. It bounds the message rate to the whole fleet, however many
-/// changes there are.
+/// changes there are: 18,600 messages a second with 930 gateways.
 const MIN_PUSH_INTERVAL_MS: Millis = 50.0;
 
 /// How long an encoded state is reused. The remaining warm-up times in it are too long by at most this.
--- a/system/src/quota.rs
+++ b/system/src/quota.rs
@@ -37,7 +37,7 @@
 /// restart, clients return at the same time.
 const ACCRUAL_BURST_FRACTION: f64 = 0.3;
 /// Units are charged ahead for the requests expected within this time, so that requests need not wait for a
-/// round trip to another region.
+/// round trip to another region, which takes 110 ms.
 const PREPAY_MS: Millis = 300.0;
 /// Time constant of the moving average of the request rate.
 const RATE_AVERAGE_MS: Millis = 1500.0;
@@ -45,7 +45,8 @@
 const MIN_WINDOW_MS: f64 = 200.0;
 const MAX_WINDOW_MS: f64 = 60_000.0;
 /// A gateway without contact to the counter for this long is assumed to use its local share. Until then it
-/// may use both its share and units granted by the counter.
+/// may use both its share and units granted by the counter: a third of the gateways thus use a third of a
+/// window.
 const CONTACT_TIMEOUT_MS: Millis = 900.0;
 /// Bits of a window number that count windows within a term.
 const WINDOW_NUMBER_BITS: u32 = 40;
--- a/system/src/raft/membership.rs
+++ b/system/src/raft/membership.rs
@@ -15,7 +15,8 @@
 use std::collections::BTreeMap;
 
 /// A member silent for this long is replaced by a caught-up learner, if there is one. Longer than the longest
-/// election timeout, so a change of leader alone replaces nobody.
+/// election timeout, so a change of leader alone replaces nobody. One that was
+/// only slow becomes a learner, and neither it nor its replacement has lost anything.
 pub(super) const SUSPECT_AFTER_MS: Millis = 1500.0;
 /// A member silent for this long is removed without a replacement where that helps the remaining ones; a
 /// learner silent for this long is dropped. More than twice the smallest `catch_up`, so that a restarting
--- a/system/src/raft/mod.rs
+++ b/system/src/raft/mod.rs
@@ -53,7 +53,7 @@
 const EMPTY_DISK_NO_VOTE_MS: f64 = 3000.0;
 const MAX_BATCH_ENTRIES: usize = 256;
 /// Limit on unacknowledged bytes of entries to one follower; a larger entry is sent alone. At 2 Mbit/s, this
-/// many bytes delay a heartbeat by a quarter of a second.
+/// many bytes delay a heartbeat by a quarter of a second; at a round trip of 50 ms a MiB passes in a second.
 const MAX_IN_FLIGHT_BYTES: usize = 64 * 1024;
 /// Approximate size of an entry without its data.
 const ENTRY_OVERHEAD_BYTES: usize = 16;
