--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -36,6 +36,10 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
 
+/// Calls of backends and clients, whose names begin so. They come too often to be logged one by one.
+const UNLOGGED_CALLS: [&str; 3] = ["/api/Instances.", "/api/resolve", "/api/Status"];
+/// Longest part of a path or body in the log, in characters.
+const MAX_LOGGED_CHARS: usize = 160;
 /// Interval between attempts to reopen an unavailable disk.
 const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum size of a request body.
@@ -509,8 +513,25 @@
         Ok(response)
     }
 
-    /// Passes a call to the member and waits for its reply.
+    /// Answers a call, and logs an operator's: an order that nobody acknowledges leaves its reason here.
     async fn answer(self: &Rc<Self>, method: &str, path: &str, body: Vec<u8>) -> Reply {
+        let received_at = self.now();
+        let reply = self.complete_call(method, path, body).await;
+        if !UNLOGGED_CALLS.iter().any(|name| path.starts_with(name)) {
+            let beginning = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
+            log::info!(
+                "core: {method} {}: {} after {:.0} ms{}",
+                beginning(path),
+                reply.status,
+                self.now() - received_at,
+                if reply.status < 400 { String::new() } else { format!(": {}", beginning(&reply.body)) }
+            );
+        }
+        reply
+    }
+
+    /// Passes a call to the member and waits for its reply.
+    async fn complete_call(self: &Rc<Self>, method: &str, path: &str, body: Vec<u8>) -> Reply {
         if let Some(reply) = self.reply_without_disk(path) {
             return reply;
         }
--- a/system/tests/simulated/callers.rs
+++ b/system/tests/simulated/callers.rs
@@ -169,7 +169,7 @@
         Some(Caller::Backend(slot)) => backend_call_ended(world, slot, reply),
         Some(Caller::Operator(number)) => operator_call_ended(world, number, reply),
         Some(Caller::RequestSlot(slot)) => super::concurrent_updates::call_ended(world, slot, reply),
-        None => {}
+        None => world.replies.extend(reply.map(|reply| (token, reply))),
     }
 }
 
--- a/system/tests/simulated/mod.rs
+++ b/system/tests/simulated/mod.rs
@@ -289,6 +289,8 @@
     pub concurrent_requests: concurrent_updates::ConcurrentRequests,
     pub model: ReferenceModel,
     pub seeds: Vec<SocketAddr>,
+    /// The replies to calls that a test sent itself, by token.
+    pub replies: BTreeMap<u64, Reply>,
     last_id: u64,
     /// Number of events processed.
     pub events: u64,
@@ -403,6 +405,7 @@
             delayed_gateways: 0,
             model: ReferenceModel::default(),
             seeds: (0..founders.min(3)).map(core_address).collect(),
+            replies: BTreeMap::new(),
             last_id: 0,
             events: 0,
         }
