--- a/lab/src/scale/cost_measurement.rs
+++ b/lab/src/scale/cost_measurement.rs
@@ -231,6 +231,7 @@
             proxy_applied_index: index,
             ranges: None,
             readable_format: MAX_ENTRY_VERSION,
+            version_counts: Vec::new(),
         }
     }
 
--- a/lab/src/scale/simulated_gateway.rs
+++ b/lab/src/scale/simulated_gateway.rs
@@ -180,6 +180,7 @@
             ranges: self.state.as_ref().filter(|_| differs).map(State::range_digests),
             sent_at: Some(now),
             readable_format: MAX_ENTRY_VERSION,
+            version_counts: Vec::new(),
         }
     }
 
--- a/src/bin/gateway/server.rs
+++ b/src/bin/gateway/server.rs
@@ -689,6 +689,7 @@
             customer_gateways: spread,
             is_retry: text("x-resent") == Some("1"),
             pool: 0,
+            canary_pool: None,
             zone_mask: u64::MAX,
             max_attempts: usize::MAX,
             deadline: client_deadline.deadline(now),
--- a/src/bin/simulator/main.rs
+++ b/src/bin/simulator/main.rs
@@ -148,6 +148,7 @@
                 is_retry: record.u8(21)? & 2 != 0,
                 body_streams: false,
                 pool: 0,
+                canary_pool: None,
                 zone_mask: u64::MAX,
             }),
             code => {
--- a/src/choice/admission.rs
+++ b/src/choice/admission.rs
@@ -138,6 +138,14 @@
         latency * confidence + TARGET_SHARE_FACTOR * load.target_share * target_ms * (1.0 - confidence)
     }
 
+    /// Counts a request in the pool's rate, even if it finds no backend: cold ones get tokens by this rate.
+    pub(super) fn count_request(&mut self, now: Millis, pool: u32) {
+        let load = self.pool_load(pool);
+        let keep = (-(now - load.requests_at).max(0.0) / REQUEST_RATE_MS).exp();
+        load.requests_per_s = load.requests_per_s * keep + 1000.0 / REQUEST_RATE_MS;
+        load.requests_at = now;
+    }
+
     pub(super) fn pool_load(&mut self, pool: u32) -> &mut PoolLoad {
         let (pool, now) = (pool as usize, self.started_at);
         while self.pools.len() <= pool {
--- a/src/choice/attempts.rs
+++ b/src/choice/attempts.rs
@@ -10,14 +10,10 @@
         let Some(open) = self.requests.get(&id) else { return };
         let pool = open.request.pool;
         if open.attempts.is_empty() {
-            // Requests that find no backend count too, so that cold backends get tokens.
-            let load = self.pool_load(pool);
-            let keep = (-(now - load.requests_at).max(0.0) / REQUEST_RATE_MS).exp();
-            load.requests_per_s = load.requests_per_s * keep + 1000.0 / REQUEST_RATE_MS;
-            load.requests_at = now;
+            self.count_request(now, pool);
         }
         self.refill_warm_up_tokens(now, pool);
-        let picked = self.pick(now, id);
+        let picked = self.pick_canary(now, id).or_else(|| self.pick(now, id));
         let Some(open) = self.requests.get_mut(&id) else { return };
         let request = &open.request;
         let first = open.attempts.is_empty();
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -5,6 +5,7 @@
 use crate::interface::*;
 use crate::state::*;
 use crate::subset::subset_rank;
+use crate::summary::Summary;
 use std::collections::BTreeMap;
 use tuning::*;
 
@@ -35,16 +36,6 @@
     summary: Summary,
 }
 
-/// Counts for the next summary in the log.
-#[derive(Default)]
-struct Summary {
-    ticks: u32,
-    requests: u32,
-    no_capacity: u32,
-    over_quota: u32,
-    unsent: u32,
-}
-
 impl Gateway {
     /// A gateway that starts now and knows only its settings.
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Self {
@@ -134,20 +125,8 @@
         if self.list_retry_at.take_if(|at| *at <= now).is_some() {
             actions.push(Action::Watch);
         }
-        self.summary.ticks += 1;
-        if self.summary.ticks >= LOG_SUMMARY_TICKS {
-            let Summary { requests, no_capacity, over_quota, unsent, .. } = std::mem::take(&mut self.summary);
-            if no_capacity + over_quota + unsent > 0 {
-                let rate = self.counter.calls_per_s;
-                let ejected = self.backends.values().filter(|b| now < b.ejected_until).count();
-                let line = format!(
-                    "{requests} requests: {no_capacity} found no room, {over_quota} were beyond the quota, \
-                     {unsent} could not be sent or retried; {ejected} servers ejected, \
-                     counter calls at {rate:.0}/s"
-                );
-                actions.push(Action::Log { line });
-            }
-        }
+        let ejected = || self.backends.values().filter(|b| now < b.ejected_until).count();
+        actions.extend(self.summary.tick(ejected, self.counter.calls_per_s));
         let limited = self.settings.plans.iter().filter(|p| p.ceiling_rate > 0.0);
         let refill_ms = limited.map(|p| p.ceiling_burst / p.ceiling_rate * 1000.0);
         let expiry_ms = refill_ms.fold(IDLE_EXPIRY_MS, f64::max);
--- a/src/choice/pick.rs
+++ b/src/choice/pick.rs
@@ -25,6 +25,12 @@
         self.backends.values().filter(move |b| b.listed.state == BackendState::Ready && b.listed.pool == pool)
     }
 
+    /// Whether the limits of cold backends allow another attempt.
+    fn has_rate_left(&self, now: Millis, b: &Backend) -> bool {
+        (warm_share(&self.settings.rules, now, b).is_none() || b.warm_up_tokens >= 1.0)
+            && (now >= b.listed.limited_until || b.sends_in_window(now) < b.listed.limit as usize)
+    }
+
     pub(super) fn pick(&mut self, now: Millis, id: RequestId) -> Option<BackendId> {
         let mut rng = self.rng.fork();
         let open = self.requests.get(&id)?;
@@ -40,21 +46,18 @@
             _ => None,
         };
         let eligible = |b: &Backend| {
-            b.listed.state == BackendState::Ready
-                && b.listed.pool == pool
-                && zones >> b.listed.zone.min(63) & 1 == 1
+            zones >> b.listed.zone.min(63) & 1 == 1
                 && repeat_at.is_none_or(|(scope, zone, cell)| match scope {
                     DedupScope::All => true,
                     DedupScope::Zone => b.listed.zone == zone,
                     DedupScope::Cell => b.listed.cell == cell && b.listed.zone == zone,
                 })
-                && (warm_share(rules, now, b).is_none() || b.warm_up_tokens >= 1.0)
-                && (now >= b.listed.limited_until || b.sends_in_window(now) < b.listed.limit as usize)
+                && self.has_rate_left(now, b)
         };
         let panic = self.in_panic(pool);
         let subset_bound = self.subset_bound(now, pool);
         let mut best: Option<(bool, f64, BackendId)> = None;
-        for b in self.backends.values().filter(|b| eligible(b)) {
+        for b in self.ready_backends(pool).filter(|b| eligible(b)) {
             let healthy =
                 b.failure_points < EJECTION_POINTS || panic || (now >= b.ejected_until && b.in_flight == 0);
             let last_resort = open.attempts.iter().any(|a| a.backend == b.listed.id)
@@ -72,6 +75,24 @@
         best.map(|(.., backend)| backend)
     }
 
+    /// For a first attempt: a healthy backend with a free place, among the nearest ones of the canary pool.
+    pub(super) fn pick_canary(&mut self, now: Millis, id: RequestId) -> Option<BackendId> {
+        let open = self.requests.get(&id).filter(|open| open.attempts.is_empty())?;
+        let (pool, zones) = (open.request.canary_pool?, open.request.zone_mask);
+        self.count_request(now, pool);
+        self.refill_warm_up_tokens(now, pool);
+        let mut rng = self.rng.fork();
+        let ready = || self.ready_backends(pool).filter(|b| zones >> b.listed.zone.min(63) & 1 == 1);
+        let nearest = ready().map(|b| b.listed.distance_cost).fold(f64::INFINITY, f64::min);
+        let free = ready().filter(|b| {
+            b.failure_points < EJECTION_POINTS
+                && f64::from(b.in_flight) < b.listed.size
+                && b.listed.distance_cost < nearest + 1.0
+                && self.has_rate_left(now, b)
+        });
+        free.min_by_key(|b| (b.in_flight, rng.u32(..))).map(|b| b.listed.id)
+    }
+
     /// Backends with a rank below this are in the gateway's subset.
     pub(super) fn subset_bound(&self, now: Millis, pool: u32) -> f64 {
         let ready = self.ready_backends(pool).count().max(1) as f64;
--- a/src/choice/tuning.rs
+++ b/src/choice/tuning.rs
@@ -106,7 +106,6 @@
 pub(super) const OVERLOAD_MEMORY_MS: f64 = LOAD_AVERAGE_MS;
 /// Time constant with which the gateway count falls: missing ones may still send, and clients move slowly.
 pub(super) const GATEWAY_DECREASE_MS: f64 = 10_000.0;
-pub(super) const LOG_SUMMARY_TICKS: u32 = 10;
 /// Share of `cold_per_s` that a gateway uses.
 pub(super) const WARM_UP_RATE_SHARE: f64 = 0.6;
 pub(super) const TICK_MS: f64 = 1000.0;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -348,6 +348,9 @@
     pub body_streams: bool,
     /// The backend pool that serves it, by index.
     pub pool: u32,
+    /// A pool whose nearest backends are tried first, once, if one can take the request at once: those of a new
+    /// version of the service. Load and capacity are those of `pool`.
+    pub canary_pool: Option<u32>,
     /// Bit mask of the zones whose backends may serve it; zones from 63 on share the last bit.
     pub zone_mask: u64,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,7 +25,7 @@
 //! gateway.handle(0.0, Event::List { full: true, entries }, &mut actions);
 //! let request = |id| Event::Request(Request { id, customer: 5, plan: 0, class: 0, units: 3.0,
 //!     budget_ms: 2000.0, customer_gateways: 1.0, is_retry: false, body_streams: false, pool: 0,
-//!     zone_mask: u64::MAX });
+//!     canary_pool: None, zone_mask: u64::MAX });
 //! gateway.handle(1.0, request(1), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, backend: 11, .. })));
 //! // The customer's token bucket held 4 units and 1 is left: a second request of 3 units is refused.
@@ -41,6 +41,7 @@
 pub mod plane;
 mod state;
 mod subset;
+mod summary;
 
 pub use choice::Gateway;
 pub use interface::*;
--- a/src/plane/driver.rs
+++ b/src/plane/driver.rs
@@ -105,6 +105,18 @@
     }
 }
 
+/// An attempt that has ended.
+pub struct FinishedAttempt<'a> {
+    /// The backend's name.
+    pub backend: &'a str,
+    /// The class of the request.
+    pub class: u32,
+    /// How it ended.
+    pub result: CallResult,
+    /// Time since it was sent, in ms.
+    pub took_ms: f64,
+}
+
 /// Receives notifications for metrics and logs.
 pub trait Observer {
     /// An attempt ended.
@@ -113,6 +125,10 @@
     fn counter_call_ended(&self, result: CallResult);
     /// A request was refused.
     fn request_refused(&self, reason: Reason);
+    /// An attempt of a request of this class is sent to the backend of this name.
+    fn attempt_sent(&self, _backend: &str, _class: u32) {}
+    /// That attempt ended: its response is complete, or it has failed.
+    fn attempt_finished(&self, _attempt: &FinishedAttempt) {}
     /// The request of an attempt was written completely.
     fn request_written(&self);
     /// The decision module logs a line.
@@ -186,6 +202,8 @@
     pub is_retry: bool,
     /// The backend pool (service) that may serve it.
     pub pool: u32,
+    /// The pool that its first attempt prefers; see [`Request::canary_pool`].
+    pub canary_pool: Option<u32>,
     /// Bit mask of the zones that may serve it.
     pub zone_mask: u64,
     /// Maximum number of attempts.
@@ -201,6 +219,7 @@
 struct RequestAttempt {
     driver: Rc<Driver>,
     id: RequestId,
+    class: u32,
     number: usize,
     request: Rc<BackendRequest>,
     backend_name: Rc<str>,
@@ -308,6 +327,7 @@
     response: Option<oneshot::Sender<(FinalResponse, AttemptSummary)>>,
     summary: AttemptSummary,
     request: Rc<BackendRequest>,
+    class: u32,
     /// None while its body is being streamed.
     deadline: Option<Instant>,
     budget: Duration,
@@ -443,6 +463,7 @@
             response: Some(sender),
             summary: AttemptSummary::default(),
             request: Rc::new(request),
+            class: info.class,
             deadline: Some(info.deadline.at()).filter(|_| !body_streams),
             budget,
             client_deadline: info.client_deadline,
@@ -462,6 +483,7 @@
             is_retry: info.is_retry,
             body_streams,
             pool: info.pool,
+            canary_pool: info.canary_pool,
             zone_mask: info.zone_mask,
         };
         self.handle(inner, Event::Request(event));
@@ -793,12 +815,14 @@
         let attempt = RequestAttempt {
             driver: self.clone(),
             id,
+            class: open.class,
             number,
             request: open.request.clone(),
             backend_name: listed.name.clone(),
             timeout,
             started: Cell::new(now),
         };
+        self.observer.attempt_sent(&attempt.backend_name, attempt.class);
         tokio::task::spawn_local(async move {
             let driver = &attempt.driver;
             let (result, response) = tokio::select! {
@@ -810,6 +834,8 @@
             let streamed = response.as_ref().filter(|response| response.body.is_none());
             let took = streamed.map(|response| response.took);
             let took_ms = took.unwrap_or_else(|| attempt.started.get().elapsed()).as_secs_f64() * 1000.0;
+            let (name, class) = (&*attempt.backend_name, attempt.class);
+            driver.observer.attempt_finished(&FinishedAttempt { backend: name, class, result, took_ms });
             driver.attempt_ended(id, number, backend, took_ms, result, response);
         });
         None
--- a/system/src/agent_state.rs
+++ b/system/src/agent_state.rs
@@ -247,6 +247,10 @@
                 proxy_applied_index: proxy.map_or(0, |proxy| proxy.applied_index),
                 ranges: self.state.as_ref().filter(|_| send_ranges).map(State::range_digests),
                 readable_format: MAX_ENTRY_VERSION,
+                version_counts: proxy
+                    .filter(|_| subscribes)
+                    .map(|proxy| proxy.version_counts.clone())
+                    .unwrap_or_default(),
             };
             out.push(Action::Send { core, message: Box::new(message) });
         }
@@ -400,9 +404,13 @@
             return;
         }
         let previous = std::mem::replace(current, message);
-        let changed =
-            FromProxy { sent_at: current.sent_at, applied_index: current.applied_index, ..previous.clone() }
-                != *current;
+        let unchanged = FromProxy {
+            sent_at: current.sent_at,
+            applied_index: current.applied_index,
+            version_counts: current.version_counts.clone(),
+            ..previous.clone()
+        };
+        let changed = unchanged != *current;
         // Other progress is reported on schedule: nothing waits for backend changes to reach every gateway.
         let awaited =
             previous.applied_index < self.awaited_index && current.applied_index >= self.awaited_index;
--- a/system/src/api.rs
+++ b/system/src/api.rs
@@ -7,6 +7,7 @@
 use crate::update_outcomes::UpdateId;
 use miniserde::{Deserialize, Serialize};
 use oakfall::Millis;
+use std::time::Duration;
 
 /// An API request.
 pub struct CallRequest<'a> {
@@ -44,6 +45,12 @@
     Unavailable,
     /// The outcome is no longer recorded, so it cannot be reported.
     OutcomeUnknown(String),
+    /// The same is under way already.
+    UnderWay(String),
+    /// The body is larger than such a call takes.
+    BodyTooLarge,
+    /// There is nothing by this name.
+    Unknown(String),
 }
 
 impl From<InvalidConfig> for Refusal {
@@ -70,6 +77,9 @@
             Refusal::MethodNotAllowed => (405, "another method is needed"),
             Refusal::Unavailable => (503, "not now"),
             Refusal::OutcomeUnknown(reason) => (503, reason.as_str()),
+            Refusal::UnderWay(reason) => (409, reason.as_str()),
+            Refusal::BodyTooLarge => (413, "the body is too large"),
+            Refusal::Unknown(reason) => (404, reason.as_str()),
         };
         let retry_after_ms = (status == 503).then_some(RETRY_AFTER_MS);
         Reply { status, body: miniserde::json::to_string(&ErrorBody { error: reason }), retry_after_ms }
@@ -164,6 +174,7 @@
         + Answers<Get>
         + Answers<StartEvacuation>,
     S: Answers<EndEvacuation> + Answers<Resolve> + Answers<GetStatus>,
+    S: Answers<StartRollout> + Answers<GetRollout>,
 {
     let path = request.path.split_once('?').map_or(request.path, |(path, _)| path);
     let Some(path) = path.strip_prefix("/api/") else {
@@ -178,6 +189,8 @@
         Get::NAME => serve::<Get, S>(handler, now, arg, request),
         StartEvacuation::NAME => serve::<StartEvacuation, S>(handler, now, arg, request),
         EndEvacuation::NAME => serve::<EndEvacuation, S>(handler, now, arg, request),
+        StartRollout::NAME => serve::<StartRollout, S>(handler, now, arg, request),
+        GetRollout::NAME => serve::<GetRollout, S>(handler, now, arg, request),
         Resolve::NAME => serve::<Resolve, S>(handler, now, arg, request),
         GetStatus::NAME => serve::<GetStatus, S>(handler, now, arg, request),
         _ => Dispatched::Replied(Refusal::NotFound.reply()),
@@ -194,6 +207,9 @@
 
 // ---- Backends -------------------------------------------------------------------------------------------
 
+/// Longest name of a version.
+const MAX_EDITION_BYTES: usize = 128;
+
 /// A heartbeat of a backend, which also registers it.
 pub struct Heartbeat {
     /// Its registration.
@@ -207,6 +223,7 @@
     service: String,
     address: String,
     zone: String,
+    edition: Option<String>,
     berths: Option<u32>,
     state: String,
     cold_time: Option<String>,
@@ -236,6 +253,10 @@
         if body.address.parse::<std::net::SocketAddr>().is_err() {
             return Err(bad("address is no address and port"));
         }
+        let edition = body.edition.unwrap_or_default();
+        if edition.len() > MAX_EDITION_BYTES {
+            return Err(bad("edition is too long"));
+        }
         let draining = match body.state.as_str() {
             "open" => false,
             "closing" => true,
@@ -252,6 +273,7 @@
             draining,
             cold_ms: cold.as_millis() as u64,
             heartbeat_seq: body.postmark.unwrap_or(u64::MAX),
+            edition,
         };
         Ok(Heartbeat { backend })
     }
@@ -388,6 +410,92 @@
     }
 }
 
+/// Largest body of an order to roll out a version.
+const MAX_ORDER_BYTES: usize = 4096;
+/// Longest term of a roll-out.
+const MAX_TERM: Duration = Duration::from_secs(24 * 3600);
+
+/// Moves a service's requests to the backends of a version.
+pub struct StartRollout {
+    /// The service.
+    pub service: String,
+    /// The version.
+    pub to_edition: String,
+    /// Time from the order until the move has ended.
+    pub term: Duration,
+}
+
+#[derive(Deserialize)]
+struct StartRolloutBody {
+    service: String,
+    to_edition: String,
+    by_time: String,
+}
+
+impl Call for StartRollout {
+    const NAME: &'static str = "Rollouts.Start";
+    const METHOD: &'static str = "POST";
+    const LEADER_ONLY: bool = true;
+    type Response = Done;
+
+    fn parse(_: &str, _: &str, request: &CallRequest) -> Result<Self, Refusal> {
+        let bad = |reason: String| Refusal::BadRequest(reason);
+        if request.body.len() > MAX_ORDER_BYTES {
+            return Err(Refusal::BodyTooLarge);
+        }
+        let body: StartRolloutBody = miniserde::json::from_str(body_text(request.body)?)
+            .map_err(|_| bad("service, to_edition or by_time is missing or of another type".into()))?;
+        if body.to_edition.is_empty() || body.to_edition.len() > MAX_EDITION_BYTES {
+            return Err(bad(format!("to_edition is empty or over {MAX_EDITION_BYTES} bytes")));
+        }
+        let term = crate::units::parse_duration(&body.by_time)
+            .ok_or_else(|| bad(format!("by_time {} is no time, such as 12s or 1500ms", body.by_time)))?;
+        if term.as_millis() == 0 || term > MAX_TERM {
+            return Err(bad(format!(
+                "by_time {} is not between 1ms and {}s",
+                body.by_time,
+                MAX_TERM.as_secs()
+            )));
+        }
+        Ok(StartRollout { service: body.service, to_edition: body.to_edition, term })
+    }
+}
+
+/// Reads the progress of a service's latest roll-out.
+pub struct GetRollout {
+    /// The service.
+    pub service: String,
+}
+
+/// The progress of a roll-out.
+#[derive(Serialize)]
+pub struct RolloutProgress {
+    /// `in_transit`, `delivered` or `returned`.
+    pub state: String,
+    /// The version that the service moves to.
+    pub to_edition: String,
+    /// The phase.
+    pub phase: String,
+    /// The new version's share of the requests.
+    pub share: f64,
+    /// Why it is in this phase.
+    pub reason: String,
+}
+
+impl Call for GetRollout {
+    const NAME: &'static str = "Rollouts.Get";
+    const METHOD: &'static str = "GET";
+    const LEADER_ONLY: bool = true;
+    type Response = RolloutProgress;
+
+    fn parse(arg: &str, _: &str, _: &CallRequest) -> Result<Self, Refusal> {
+        match arg {
+            "" => Err(Refusal::BadRequest("the path names no service".into())),
+            service => Ok(GetRollout { service: service.to_owned() }),
+        }
+    }
+}
+
 /// Reads the status of the system as this process sees it.
 pub struct GetStatus;
 
--- a/system/src/lib.rs
+++ b/system/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod raft;
 pub mod rate_shares;
 pub mod replica;
+pub mod rollout;
 pub mod routes;
 pub mod settings;
 pub mod start;
--- a/system/src/member/mod.rs
+++ b/system/src/member/mod.rs
@@ -2,14 +2,15 @@
 //! current time, outputs are [`Action`]s to be executed in order. `control.rs` owns the sockets, the clock
 //! and the disk.
 //!
-//! Submodules: `operator_calls` handles operators' calls, `presence` backends and gateways, `push` messages
-//! to agents, `quota` the tenants' quotas, and `joining` messages between core processes.
+//! Submodules: `operator_calls` handles operators' calls, `rollouts` new versions, `presence` backends and gateways,
+//! `push` messages to agents, `quota` the tenants' quotas, and `joining` messages between core processes.
 
 mod joining;
 mod operator_calls;
 mod presence;
 mod push;
 mod quota;
+mod rollouts;
 
 use crate::api::{self, CallHandler, CallRequest, Dispatched, Outcome, Refusal, Reply};
 use crate::invariants::{self, Invariant};
@@ -17,6 +18,7 @@
     Change, ChangeKind, Charges, CorePayload, ForwardedCall, FromAgent, StateSnapshot, ToAgent, Totals,
 };
 use crate::raft::{self, Entry, Name, PersistentState, RaftMessage, RaftNode, Save};
+use crate::rollout::controller::Controller;
 use crate::settings::Settings;
 use crate::state::{DigestCache, State, Touched};
 use crate::store::SaveLatency;
@@ -30,7 +32,7 @@
 use prost::Message;
 use push::{Agent, EncodedState};
 use quota::QuotaCounters;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 /// Interval between ticks.
@@ -277,6 +279,9 @@
     /// The whole state as last encoded for agents.
     encoded_state: Option<EncodedState>,
     quota_counters: QuotaCounters,
+    /// The services of the configuration in force; known to the leader only.
+    services: BTreeSet<String>,
+    rollout_controller: Controller,
     /// Id of the next forwarded call.
     next_call_id: u64,
     ticks: u32,
@@ -331,6 +336,7 @@
             if bootstraps { "bootstrapping a new cluster" } else { "not bootstrapping" }
         );
         let state = State { index: saved.snapshot.index, ..State::from_snapshot(now, state_snapshot) };
+        let rollout_controller = Controller::new(settings.bounds.expose_share);
         let member = Member {
             seeds: settings.seeds.clone(),
             raft: RaftNode::new(me.clone(), saved, seed, now).with_decode_check(can_decode_snapshot),
@@ -356,6 +362,8 @@
             push_pending: false,
             encoded_state: None,
             quota_counters: QuotaCounters::default(),
+            services: BTreeSet::new(),
+            rollout_controller,
             next_call_id: seed >> 16,
             ticks: 0,
             rejected_messages: 0,
@@ -454,6 +462,9 @@
         if self.is_leader() && !self.presence.is_settled() {
             self.update_settled();
         }
+        if self.ticks.is_multiple_of(rollouts::CONTROLLER_INTERVAL_TICKS) {
+            self.advance_rollouts(now);
+        }
         if self.push_pending {
             self.push_changes(now, out);
         }
@@ -627,9 +638,10 @@
         let touched = self.state.apply(now, entry.index, change.as_ref());
         self.compact(now);
         if touched == Touched::Config {
-            self.load_limits();
+            self.load_config();
         }
-        if let Some(ChangeKind::Config(config)) = change.as_ref().and_then(|change| change.kind.as_ref()) {
+        let kind = change.as_ref().and_then(|change| change.kind.as_ref());
+        if let Some(ChangeKind::Config(config)) = kind {
             self.log_update(config, touched == Touched::Config);
         }
         self.updates.remove_applied(entry.index);
@@ -645,7 +657,10 @@
                 // An entry of another term took its place: the change was not committed.
                 _ if term != entry.term => self.refuse(&caller, &Refusal::Unavailable, out),
                 Some(update_id) => self.update_applied(now, &caller, &update_id, out),
-                None => self.reply_success(&caller, out),
+                None => match self.rollout_refusal(kind, entry.index) {
+                    Some(refusal) => self.refuse(&caller, &refusal, out),
+                    None => self.reply_success(&caller, out),
+                },
             }
         }
     }
@@ -655,10 +670,11 @@
         self.leadership_announced = false;
         self.updates.clear_proposed();
         self.presence = Presence::new(now);
+        self.rollout_controller = Controller::new(self.settings.bounds.expose_share);
         let slack = self.settings.bounds.quota_slack;
         self.quota_counters =
             if leads { QuotaCounters::new(now, self.raft.term(), slack) } else { QuotaCounters::default() };
-        self.load_limits();
+        self.load_config();
         if !leads {
             // The results of these calls are unknown; a retry finds out.
             let own = self.calls.iter().filter(|(_, call)| !matches!(call.stage, Stage::Forwarded(_)));
--- a/system/src/member/push.rs
+++ b/system/src/member/push.rs
@@ -42,6 +42,7 @@
         let members = self.raft.members().to_vec();
         let (subscribes, applied_index) = (report.subscribes, report.applied_index);
         let proxy_applied_index = report.proxy_applied_index;
+        let version_counts = std::mem::take(&mut report.version_counts);
         let ranges = report.ranges.take().filter(|_| authoritative);
         let repair = ranges.and_then(|theirs| self.state.repair_for(now, &theirs));
         let agent = self.agents.entry(link).or_insert_with(|| Agent {
@@ -67,6 +68,7 @@
         };
         if authoritative {
             self.presence.record_gateway_contact(now, &gateway.node, proxy_applied_index);
+            self.record_version_counts(now, &gateway.node, version_counts);
         }
         if authoritative && !self.is_registered(&gateway) && !gateway.client_addr.is_empty() {
             self.inputs.push_back(RaftInput::Propose(ChangeKind::Gateway(gateway), None));
--- a/system/src/member/quota.rs
+++ b/system/src/member/quota.rs
@@ -37,11 +37,13 @@
 
 impl Member {
     /// Loads the tenants' limits from the current configuration, if this process leads.
-    pub(super) fn load_limits(&mut self) {
+    pub(super) fn load_config(&mut self) {
         if !self.is_leader() {
             return;
         }
         let config = self.state.config.as_ref().and_then(|config| Config::read(&config.text).ok());
+        let services = config.iter().flat_map(|config| &config.services);
+        self.services = services.map(|service| service.name.clone()).collect();
         let tenants = config.into_iter().flat_map(|config| config.tenants.unwrap_or_default());
         self.quota_counters.limits = tenants.map(|tenant| (tenant.name.clone(), tenant.limit())).collect();
     }
--- a/system/src/protocol.rs
+++ b/system/src/protocol.rs
@@ -1,13 +1,14 @@
 //! The messages between the system's processes, and the changes and snapshots of the replicated state.
 
 use crate::delta::Delta;
+use crate::rollout::messages::{RolloutOrder, RolloutStep, VersionCounts, VersionsRecord};
 use prost::{Message, Oneof};
 
 /// A change of the replicated state: the payload of a log entry.
 #[derive(Clone, PartialEq, Message)]
 pub struct Change {
     /// The change; none in an entry without one.
-    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<ChangeKind>,
     /// For `BackendGone`: the backend deregistered itself, so a late heartbeat must not register it again.
     #[prost(bool, tag = "15")]
@@ -38,6 +39,12 @@
     /// A configuration update is rejected for good.
     #[prost(message, tag = "7")]
     Rejected(RejectedUpdate),
+    /// A roll-out is ordered.
+    #[prost(message, tag = "8")]
+    Rollout(RolloutOrder),
+    /// A roll-out takes a step.
+    #[prost(message, tag = "9")]
+    RolloutStep(RolloutStep),
 }
 
 /// A configuration. As a change it is an update, accepted only on top of the edition that it names.
@@ -130,6 +137,9 @@
     /// The sequence number of the heartbeat that caused this (`postmark` in calls); lower ones are ignored.
     #[prost(uint64, tag = "8")]
     pub heartbeat_seq: u64,
+    /// The version of its software (`edition` in calls); empty from earlier releases.
+    #[prost(string, tag = "9")]
+    pub edition: String,
 }
 
 /// The registration of a gateway.
@@ -176,6 +186,9 @@
     /// Zones whose evacuation ended recently. Empty from earlier releases.
     #[prost(message, repeated, tag = "8")]
     pub evacuation_ends: Vec<EvacuationEnd>,
+    /// The versions of services, and their roll-outs. None from earlier releases.
+    #[prost(message, optional, boxed, tag = "9")]
+    pub versions: Option<Box<VersionsRecord>>,
 }
 
 /// The end of a zone's evacuation.
@@ -235,8 +248,8 @@
     #[prost(string, repeated, tag = "2")]
     pub names: Vec<String>,
     /// The contents of these ranges.
-    #[prost(message, optional, tag = "3")]
-    pub parts: Option<StateSnapshot>,
+    #[prost(message, optional, boxed, tag = "3")]
+    pub parts: Option<Box<StateSnapshot>>,
 }
 
 /// A change and its index.
@@ -285,6 +298,9 @@
     /// The format of changes that the sender can read: [`crate::raft::MAX_ENTRY_VERSION`].
     #[prost(uint32, tag = "10")]
     pub readable_format: u32,
+    /// What the proxy has seen of the versions of services with a roll-out; only in reports to the leader.
+    #[prost(message, repeated, tag = "11")]
+    pub version_counts: Vec<VersionCounts>,
 }
 
 /// A message from a core process to an agent.
@@ -388,6 +404,9 @@
     /// The format of changes that the sender can read: [`crate::raft::MAX_ENTRY_VERSION`].
     #[prost(uint32, tag = "6")]
     pub readable_format: u32,
+    /// What it has seen of the versions of services with a roll-out.
+    #[prost(message, repeated, tag = "7")]
+    pub version_counts: Vec<VersionCounts>,
 }
 
 /// A batch of charges from a proxy to the counter.
--- a/system/src/proxy.rs
+++ b/system/src/proxy.rs
@@ -3,10 +3,12 @@
 mod charging;
 mod forwarded_messages;
 mod state_updates;
+mod versions;
 
 use self::charging::ChargeRequest;
 use self::forwarded_messages::{backend_request, response_from_backend, SINGLETON_HEADERS};
 use self::state_updates::driver_settings;
+use self::versions::{holds_canary_lease, CanaryPool, ProxyObserver, VersionTracker};
 use crate::agent;
 use crate::backend_protocol::HttpBackendProtocol;
 use crate::client_response::{client_response, ClientResponse};
@@ -34,6 +36,7 @@
 use oakfall::plane::driver::{BackendProtocol, Driver, DriverResources, FinalResponse, RequestInfo};
 use oakfall::Millis;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -115,6 +118,9 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     routes: RefCell<NameIds>,
     pools: RefCell<NameIds>,
+    /// The new versions that may get requests, by the pool of their service.
+    canary_pools: RefCell<HashMap<u32, CanaryPool>>,
+    versions: Rc<VersionTracker>,
     /// Evacuated zones, one bit each.
     evacuated: Cell<u64>,
     /// In the last backend update, backends not known to be cold were allowed their full rate.
@@ -174,20 +180,24 @@
         let max_connections = (settings.max_fds.saturating_sub(RESERVED_FDS) / 2).max(2) as usize;
         let budget = Rc::new(MemoryBudget::new(settings.memory_mb << 20));
         let metrics = Rc::new(Metrics::default());
+        let started = Instant::now();
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let versions = Rc::new(VersionTracker::new(rng.u64(..)));
+        let observer = ProxyObserver { metrics: metrics.clone(), versions: versions.clone(), started };
         let resources = DriverResources {
             backends: backends(max_connections),
             call_counter: None,
             send_message: None,
             budget: budget.clone(),
             protocol,
-            observer: metrics.clone(),
+            observer: Rc::new(observer),
         };
         let zones = Zones::new(&settings.zones);
         let (charges, charge_requests) = unbounded_channel();
         let proxy = Rc::new(Proxy {
             driver: Driver::new(driver_settings(&settings, &zones, Vec::new(), 1, 0), seed, resources),
             zones,
-            started: Instant::now(),
+            started,
             client_addr,
             metrics,
             budget,
@@ -199,6 +209,8 @@
             table: RefCell::default(),
             routes: RefCell::default(),
             pools: RefCell::default(),
+            canary_pools: RefCell::default(),
+            versions,
             evacuated: Cell::new(0),
             full_rate: Cell::new(false),
             quota_client: RefCell::new(QuotaClient::new(settings.bounds.quota_slack)),
@@ -207,7 +219,7 @@
             readiness_changed: Notify::new(),
             was_synced: Cell::new(false),
             synced: Notify::new(),
-            rng: RefCell::new(fastrand::Rng::with_seed(seed)),
+            rng: RefCell::new(rng),
             settings,
         });
         Ok((proxy, charge_requests))
@@ -551,6 +563,7 @@
         let zone_mask = route.zone_mask
             & tenant.as_ref().map_or(u64::MAX, |tenant| tenant.zone_mask)
             & !self.evacuated.get();
+        let pool = self.choose_pool(&route);
         let request = RequestInfo {
             customer: 0,
             plan: 0,
@@ -558,7 +571,8 @@
             units: 1.0,
             customer_gateways: 1.0,
             is_retry: false,
-            pool: self.choose_pool(&route),
+            pool,
+            canary_pool: self.draw_canary_pool(pool),
             zone_mask,
             max_attempts: route.attempts,
             deadline,
@@ -653,6 +667,13 @@
         }
     }
 
+    /// Draws whether a request of this pool's service tries its new version first.
+    fn draw_canary_pool(&self, pool: u32) -> Option<u32> {
+        let canary = *self.canary_pools.borrow().get(&pool)?;
+        let may_send = holds_canary_lease(self.replica.borrow().leader_contact_age(self.now()));
+        (may_send && self.rng.borrow_mut().f64() < canary.share).then_some(canary.pool)
+    }
+
     /// Chooses one of the route's pools at random by weight.
     fn choose_pool(&self, route: &Route) -> u32 {
         let sum: f64 = route.pools.iter().map(|(_, weight)| weight).sum();
--- a/system/src/proxy/state_updates.rs
+++ b/system/src/proxy/state_updates.rs
@@ -1,12 +1,14 @@
 //! State updates from the agent, and what they change: the route table, the settings of the decision module and
 //! the list of backends.
 
+use super::versions::{CanaryPool, SeenBackend};
 use super::{Proxy, CONNECT_MS, IDLE_MS, MAX_RETRY_AFTER_MS, RECONNECT_DELAY};
 use crate::agent::proxy_listen_address;
 use crate::link::{self, MessageReader, MessageSender};
 use crate::protocol::ToProxy;
 use crate::rate_shares::Shares;
 use crate::replica::Effects;
+use crate::rollout::placement::{Placement, Placements};
 use crate::routes::{RouteTable, Zones};
 use crate::settings::Settings;
 use crate::state::Touched;
@@ -48,10 +50,12 @@
         let mut incoming = MessageReader::<ToProxy>::new(read);
         let result = loop {
             let ready = self.ready();
+            let version_counts = self.versions.report(|class| self.routes.borrow().name_digest(class));
             outgoing.send(&self.replica.borrow_mut().message(
                 self.now(),
                 self.client_addr.to_string(),
                 ready,
+                version_counts,
             ));
             let next = tokio::select! {
                 next = incoming.next() => next,
@@ -149,6 +153,26 @@
         let region = |zone: &str| self.zones.region(zone);
         let full_rate = replica.has_full_rate(proxy_now);
         self.full_rate.set(full_rate);
+        let warm_up_ms =
+            |pool: u32| table.as_ref().and_then(|table| table.cold_ms.get(&pool)).copied().unwrap_or(0.0);
+        let closes_unordered = self.settings.closes_unordered_versions;
+        let registered = state.backends.values().map(|known| &known.backend);
+        let placements = Placements::new(&state.versions, closes_unordered, registered, region, |zone| {
+            state.evacuated.contains(zone)
+        });
+        let canary_pools = state.versions.all_under_way().filter_map(|rollout| {
+            let service = &rollout.order.service;
+            let canary = CanaryPool::of(rollout, pools.id(&canary_pool_name(service)))?;
+            Some((pools.id(service), canary))
+        });
+        *self.canary_pools.borrow_mut() = canary_pools.collect();
+        let seen = state.backends.values().map(|known| SeenBackend {
+            backend: &known.backend,
+            is_near: region(&known.backend.zone) == Some(&self.settings.region),
+            cold_until: known.cold_until,
+            warm_up_ms: warm_up_ms(pools.id(&known.backend.service)),
+        });
+        self.versions.update(proxy_now, &state.versions, seen);
         // Computed only if some backend is rate-limited.
         let shares = LazyCell::new(|| {
             let names = state.gateways.keys().map(String::as_str);
@@ -156,13 +180,18 @@
         });
         let listed_backends = state.backends.values().filter_map(|known| {
             let backend = &known.backend;
-            let (pool, zone) = (pools.id(&backend.service), self.zones.number(&backend.zone));
+            let (service_pool, zone) = (pools.id(&backend.service), self.zones.number(&backend.zone));
+            let placement = placements.of(backend);
+            let pool = match placement {
+                Placement::Canary => pools.id(&canary_pool_name(&backend.service)),
+                Placement::InService | Placement::Closed => service_pool,
+            };
+            let gets_requests = placement != Placement::Closed && !backend.draining;
             let cold_per_s =
-                table.as_ref().and_then(|table| table.cold_per_s.get(&pool)).copied().unwrap_or(0.0);
-            let cold_ms = table.as_ref().and_then(|table| table.cold_ms.get(&pool)).copied().unwrap_or(0.0);
+                table.as_ref().and_then(|table| table.cold_per_s.get(&service_pool)).copied().unwrap_or(0.0);
             // Backends may have become cold while their zone was evacuated.
             let warm_after_evacuation =
-                state.evacuation_ends.get(&backend.zone).map_or(0.0, |at| at + cold_ms);
+                state.evacuation_ends.get(&backend.zone).map_or(0.0, |at| at + warm_up_ms(service_pool));
             let cold_until = known.cold_until.max(warm_after_evacuation);
             let cold_until = if cold_until > proxy_now { driver_now + cold_until - proxy_now } else { 0.0 };
             let cold = cold_per_s > 0.0 && cold_until > driver_now;
@@ -181,7 +210,7 @@
                 zone,
                 kind: 0,
                 cell: 0,
-                state: if backend.draining { BackendState::Draining } else { BackendState::Ready },
+                state: if gets_requests { BackendState::Ready } else { BackendState::Draining },
                 size: f64::from(backend.max_concurrency.max(1)),
                 started: 0.0,
                 pool,
@@ -206,6 +235,11 @@
     }
 }
 
+/// The name of the pool of a service's new version. Names of services hold no line break.
+fn canary_pool_name(service: &str) -> String {
+    format!("{service}\ncanary")
+}
+
 /// Settings of the decision module.
 pub(super) fn driver_settings(
     settings: &Settings, zones: &Zones, classes: Vec<oakfall::Class>, gateways: u32, position: u32,
--- a/system/src/replica.rs
+++ b/system/src/replica.rs
@@ -3,6 +3,7 @@
 
 use crate::protocol::{FromProxy, ToProxy};
 use crate::raft::MAX_ENTRY_VERSION;
+use crate::rollout::messages::VersionCounts;
 use crate::settings::Bounds;
 use crate::state::{DigestCache, State, Touched};
 use oakfall::Millis;
@@ -90,7 +91,9 @@
     }
 
     /// The next message to the agent.
-    pub fn message(&mut self, now: Millis, client_addr: String, ready: bool) -> FromProxy {
+    pub fn message(
+        &mut self, now: Millis, client_addr: String, ready: bool, version_counts: Vec<VersionCounts>,
+    ) -> FromProxy {
         let ranges =
             self.state.as_ref().filter(|_| std::mem::take(&mut self.differs)).map(State::range_digests);
         FromProxy {
@@ -100,6 +103,7 @@
             ranges,
             sent_at: Some(now),
             readable_format: MAX_ENTRY_VERSION,
+            version_counts,
         }
     }
 
--- a/system/src/routes.rs
+++ b/system/src/routes.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{Config, Forward, InvalidConfig};
 use crate::quota::Limit;
+use crate::state::digest;
 use crate::units;
 use oakfall::{Class, Idempotency};
 use std::collections::{BTreeMap, HashMap};
@@ -19,6 +20,12 @@
 pub struct NameIds(HashMap<String, u32>);
 
 impl NameIds {
+    /// A digest of the name with this ID; zero if there is none. A linear search, for a few IDs at a time.
+    pub fn name_digest(&self, id: u32) -> u64 {
+        let name = self.0.iter().find(|(_, known)| **known == id).map(|(name, _)| name);
+        name.map_or(0, |name| digest(name.as_bytes()))
+    }
+
     /// The ID of a name. Names beyond the limit share one ID.
     pub fn id(&mut self, name: &str) -> u32 {
         let next = self.0.len().min(MAX_IDS) as u32;
--- a/system/src/settings.rs
+++ b/system/src/settings.rs
@@ -53,6 +53,8 @@
     pub zones: BTreeMap<String, String>,
     /// Interval of a backend's heartbeats.
     pub heartbeat_interval: Duration,
+    /// Versions of services get no requests before they are ordered, apart from those that were there first.
+    pub closes_unordered_versions: bool,
     /// Limits that the system must keep.
     pub bounds: Bounds,
 }
@@ -82,6 +84,8 @@
     pub cold_slack: f64,
     /// Longest time-to-live of a lookup response at clients.
     pub ttl_max: Duration,
+    /// Share of a service's requests that a bad version may get from its order to the end of its term.
+    pub expose_share: f64,
 }
 
 /// Fraction of `revocation_timeout` that is used; the rest covers clock drift and late timers.
@@ -155,6 +159,7 @@
 
 #[derive(Deserialize)]
 struct TariffsSection {
+    contracts: Option<Vec<String>>,
     bounds: BoundsSection,
 }
 
@@ -170,9 +175,14 @@
     quota_slack: Option<f64>,
     cold_over: Option<f64>,
     cold_slack: Option<f64>,
+    expose_share: Option<f64>,
     ttl_max: String,
 }
 
+/// Share of the requests that a bad version may get, unless the settings state it.
+const DEFAULT_EXPOSE_SHARE: f64 = 0.1;
+/// The contract under which new versions of services are rolled out by order only.
+const ROLLOUT_CONTRACT: &str = "rollout";
 /// Machine classes that the programs run on.
 const MACHINE_CLASSES: [&str; 2] = ["counter", "sorting"];
 /// Largest accepted settings file.
@@ -369,6 +379,8 @@
                 }
                 None => Duration::from_millis(default_ms),
             };
+        let contracts = tariffs.contracts.unwrap_or_default();
+        let closes_unordered_versions = contracts.iter().any(|contract| contract == ROLLOUT_CONTRACT);
         let file = tariffs.bounds;
         let heartbeat_interval = time("carrier.beat", Some(&carrier.beat), 0);
         let bounds = Bounds {
@@ -383,7 +395,11 @@
             cold_factor: file.cold_over.unwrap_or(1.0),
             cold_slack: file.cold_slack.unwrap_or(0.0),
             ttl_max: time("tariffs.bounds.ttl_max", Some(&file.ttl_max), 0),
+            expose_share: file.expose_share.unwrap_or(DEFAULT_EXPOSE_SHARE),
         };
+        if !(0.0..=1.0).contains(&bounds.expose_share) {
+            reject("tariffs.bounds.expose_share", "not between 0 and 1".into());
+        }
         if !(0.0..=10.0).contains(&bounds.retry_ratio) || !(0.0..=1e6).contains(&bounds.retry_slack) {
             reject("tariffs.bounds", "retry_ratio or retry_slack is out of range".into());
         }
@@ -409,6 +425,7 @@
                 relays,
                 zones: network.zones,
                 heartbeat_interval,
+                closes_unordered_versions,
                 bounds,
             }),
             _ => Err(eyre!("{}", errors.join("; "))),
--- a/system/src/state.rs
+++ b/system/src/state.rs
@@ -5,6 +5,7 @@
     Backend, Change, ChangeKind, ConfigRevision, EvacuationEnd, Gateway, IndexedChange, RangeDigest,
     RangeDigests, RejectedUpdate, Repair, StateSnapshot,
 };
+use crate::rollout::Versions;
 use crate::update_outcomes::{RecordedOutcomes, UpdateId, UpdateStatus};
 use oakfall::Millis;
 use prost::Message;
@@ -48,6 +49,8 @@
     pub gateways: BTreeMap<String, Gateway>,
     /// Ids of backends that deregistered themselves, the most recent last.
     pub deregistered: VecDeque<String>,
+    /// The versions of services, and their roll-outs.
+    pub versions: Versions,
     /// The outcomes of configuration updates; only in the replicas of core processes.
     pub update_outcomes: RecordedOutcomes,
 }
@@ -74,6 +77,9 @@
 /// The name of the range that holds the evacuated zones.
 const EVACUATED_RANGE: &str = "evacuated";
 
+/// The name of the range that holds the versions of services.
+const VERSIONS_RANGE: &str = "versions";
+
 /// The name of the range that holds a zone's backends and gateways.
 fn zone_range(zone: &str) -> String {
     format!("cell {zone}")
@@ -158,6 +164,15 @@
     Nothing,
 }
 
+/// What a roll-out's order or step touched: nothing if it was not applied.
+fn touched_if(applied: bool) -> Touched {
+    if applied {
+        Touched::Backends
+    } else {
+        Touched::Nothing
+    }
+}
+
 impl State {
     /// Applies the next change. Apart from [`State::repair`], nothing else modifies a replica.
     pub fn apply(&mut self, now: Millis, index: u64, change: Option<&Change>) -> Touched {
@@ -185,6 +200,7 @@
                     return Touched::Nothing;
                 }
                 self.deregistered.retain(|id| *id != backend.id);
+                self.admit_version(backend);
                 // An address belongs to one backend at a time, so the previous owner is gone.
                 self.backends
                     .retain(|id, known| *id == backend.id || known.backend.address != backend.address);
@@ -212,10 +228,19 @@
                 self.gateways.remove(node);
                 Touched::Gateways
             }
+            Some(ChangeKind::Rollout(order)) => touched_if(self.versions.start(now, index, order)),
+            Some(ChangeKind::RolloutStep(step)) => touched_if(self.versions.advance(now, index, step)),
             None => Touched::Nothing,
         }
     }
 
+    fn admit_version(&mut self, backend: &Backend) {
+        let former = self.backends.get(&backend.id).map(|known| &known.backend);
+        let others = self.backends.values().map(|known| &known.backend);
+        let others = others.filter(|other| other.service == backend.service && other.id != backend.id);
+        self.versions.backend_registered(backend, former, others, self.config.is_some());
+    }
+
     /// The edition of the configuration in force; zero before the first.
     pub fn edition(&self) -> u64 {
         self.config.as_ref().map_or(0, |config| config.edition)
@@ -289,6 +314,9 @@
             gateways: self.gateways.values().cloned().collect(),
             ..StateSnapshot::default()
         };
+        if !self.versions.is_empty() {
+            snapshot.versions = Some(Box::new(self.versions.record(now)));
+        }
         if for_core {
             self.update_outcomes.write(&mut snapshot);
             snapshot.deregistered = self.deregistered.iter().cloned().collect();
@@ -314,6 +342,9 @@
         for zone in &self.evacuated {
             add(EVACUATED_RANGE.to_owned(), zone.as_bytes());
         }
+        if !self.versions.is_empty() {
+            add(VERSIONS_RANGE.to_owned(), &self.versions.comparable_bytes());
+        }
         for known in self.backends.values() {
             let compared = Backend { cold_ms: 0, heartbeat_seq: 0, ..known.backend.clone() };
             add(zone_range(&compared.zone), &compared.encode_to_vec());
@@ -344,9 +375,12 @@
         let mut parts = self.snapshot(now, false);
         parts.config = parts.config.filter(|_| wanted(CONFIG_RANGE));
         parts.evacuated.retain(|_| wanted(EVACUATED_RANGE));
+        if !wanted(VERSIONS_RANGE) {
+            parts.versions = None;
+        }
         parts.backends.retain(|backend| wanted(&zone_range(&backend.zone)));
         parts.gateways.retain(|gateway| wanted(&zone_range(&gateway.zone)));
-        Some(Repair { index: self.index, names, parts: Some(parts) })
+        Some(Repair { index: self.index, names, parts: Some(Box::new(parts)) })
     }
 
     /// Replaces the ranges that differed. False if the replica is at another index by now; it is then left
@@ -354,13 +388,16 @@
     pub fn repair(&mut self, now: Millis, repair: Repair) -> bool {
         let (true, Some(parts)) = (repair.index == self.index, repair.parts) else { return false };
         let replaced = |range: &str| repair.names.iter().any(|name| name == range);
-        let replacement = State::from_snapshot(now, parts);
+        let replacement = State::from_snapshot(now, *parts);
         if replaced(CONFIG_RANGE) {
             self.config = replacement.config;
         }
         if replaced(EVACUATED_RANGE) {
             self.evacuated = replacement.evacuated;
         }
+        if replaced(VERSIONS_RANGE) {
+            self.versions = replacement.versions;
+        }
         self.backends.retain(|_, known| !replaced(&zone_range(&known.backend.zone)));
         self.backends.extend(replacement.backends);
         self.gateways.retain(|_, gateway| !replaced(&zone_range(&gateway.zone)));
@@ -371,6 +408,8 @@
     /// A replica restored from a snapshot.
     pub fn from_snapshot(now: Millis, mut snapshot: StateSnapshot) -> Self {
         let update_outcomes = RecordedOutcomes::read(&mut snapshot);
+        let versions =
+            Versions::from_record(now, snapshot.versions.take().map(|record| *record).unwrap_or_default());
         let known = |backend: Backend| {
             let cold_until = if backend.cold_ms > 0 { now + backend.cold_ms as f64 } else { 0.0 };
             (backend.id.clone(), RegisteredBackend { backend, cold_until })
@@ -385,6 +424,7 @@
             backends: snapshot.backends.into_iter().map(known).collect(),
             gateways: snapshot.gateways.into_iter().map(|gateway| (gateway.node.clone(), gateway)).collect(),
             deregistered: snapshot.deregistered.into(),
+            versions,
             update_outcomes,
         }
     }
--- a/system/tests/bounds/mod.rs
+++ b/system/tests/bounds/mod.rs
@@ -17,5 +17,6 @@
         cold_factor: 1.5,
         cold_slack: 5.0,
         ttl_max: Duration::from_secs(5),
+        expose_share: 0.1,
     }
 }
--- a/system/tests/control.rs
+++ b/system/tests/control.rs
@@ -4,7 +4,7 @@
 mod failures;
 mod simulated;
 
-use oakfall_system::protocol::{CorePayload, FromAgent, Gateway, Repair, StateSnapshot};
+use oakfall_system::protocol::{CorePayload, FromAgent, Gateway, Repair};
 use oakfall_system::raft::{AppendEntries, InstallSnapshot, RaftMessage, RaftPayload};
 use simulated::faults::{Fault, ALL_FAULTS};
 use simulated::{Endpoint, Input, World};
@@ -125,8 +125,7 @@
                 _ => RaftPayload::TimeoutNow(term),
             };
             let index = world.cores[core].running.as_ref().expect("a running core").state().index;
-            let repair =
-                Repair { index, names: vec!["cell z1".into()], parts: Some(StateSnapshot::default()) };
+            let repair = Repair { index, names: vec!["cell z1".into()], parts: Some(Box::default()) };
             let message = if world.rng.bool() {
                 CorePayload::Raft(RaftMessage { payload: Some(payload) })
             } else {
--- a/system/tests/plane/mod.rs
+++ b/system/tests/plane/mod.rs
@@ -177,6 +177,7 @@
 
 fn state_update(index: u64, backends: &[Rc<TestBackend>]) -> ToProxy {
     let backends = backends.iter().filter(|backend| backend.listed.get()).map(|backend| Backend {
+        edition: "v1".into(),
         id: backend.id.clone(),
         service: "s1".into(),
         address: backend.addr.to_string(),
--- a/system/tests/replica.rs
+++ b/system/tests/replica.rs
@@ -30,6 +30,7 @@
             draining: rng.bool(),
             heartbeat_seq: rng.u64(0..4),
             cold_ms: rng.u64(0..3000),
+            edition: format!("v{}", rng.u32(1..3)),
         }),
     };
     Change { kind: Some(kind), deregistered: rng.bool() }
--- a/system/tests/simulated/mod.rs
+++ b/system/tests/simulated/mod.rs
@@ -331,6 +331,7 @@
         relays: BTreeMap::new(),
         zones: BTreeMap::from([("z1".into(), "r".into()), ("z2".into(), "r".into())]),
         heartbeat_interval: Duration::from_millis(1500),
+        closes_unordered_versions: true,
         bounds: bounds(),
     }
 }
@@ -1304,7 +1305,7 @@
         let now = self.gateway_clock(number);
         let replica = &mut self.gateways[number].replica;
         let ready = replica.applied_index() > 0;
-        let message = replica.message(now, format!("10.1.0.{}:80", number + 1), ready);
+        let message = replica.message(now, format!("10.1.0.{}:80", number + 1), ready, Vec::new());
         self.handle_agent_event(number, incarnation, agent_state::Event::ProxyMessage { link: 1, message });
         if self.gateways[number].incarnation == incarnation {
             self.schedule(20.0, SimEvent::ProxyReport(number, incarnation));
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -94,6 +94,7 @@
             is_retry: false,
             body_streams: false,
             pool: 0,
+            canary_pool: None,
             zone_mask: u64::MAX,
         }))
     }
@@ -157,6 +158,7 @@
         is_retry: false,
         body_streams: false,
         pool: 0,
+        canary_pool: None,
         zone_mask: u64::MAX,
     }
 }
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -243,6 +243,7 @@
                     is_retry: rng.bool(),
                     body_streams: false,
                     pool: 0,
+                    canary_pool: None,
                     zone_mask: u64::MAX,
                 }));
             }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -694,3 +694,50 @@
     assert_eq!(before, all);
     assert!((15..=25).contains(&all) && (30..=36).contains(&half), "{all} and {half}");
 }
+
+/// A gateway with backends 1 to 3 in pool 0, and canaries 11 to 14 in pool 1; 14 is in another region.
+fn rig_with_canaries() -> Rig {
+    let mut rig = Rig::new(settings_without_quota());
+    let canary = |id: u32| {
+        let distance_cost = if id == 14 { 6.0 } else { 0.0 };
+        BackendEntry { pool: 1, size: 2.0, distance_cost, ..backend_entry(id, 0, BackendState::Ready) }
+    };
+    rig.event(Event::List { full: false, entries: (11..15).map(canary).collect() });
+    rig
+}
+
+/// The backends of a request with a canary pool: of its first attempt, and of the next after an error.
+fn canary_request(rig: &mut Rig, id: u64) -> (u32, Option<u32>) {
+    let request = Request { canary_pool: Some(1), ..request(id, 7) };
+    let first = sent(&rig.event(Event::Request(request))).expect("a first attempt");
+    (first, sent(&rig.outcome(id, 0, first, CallResult::Error, None)))
+}
+
+/// Guards against all gateways sending their canary requests to the same one of several idle backends.
+#[test]
+fn canary_requests_spread_over_the_nearest_canaries() {
+    let mut used = std::collections::BTreeSet::new();
+    for seed in 0..20 {
+        let mut rig = rig_with_canaries();
+        (0..seed).for_each(|id| drop(rig.request(1000 + id, 0, 1.0)));
+        used.insert(canary_request(&mut rig, 1).0);
+    }
+    assert_eq!(used.into_iter().collect::<Vec<_>>(), [11, 12, 13]);
+}
+
+#[test]
+fn a_failed_canary_request_is_retried_in_its_own_pool() {
+    let (first, retry) = canary_request(&mut rig_with_canaries(), 1);
+    assert!(first > 10 && retry.is_some_and(|backend| backend < 10), "{first}, then {retry:?}");
+}
+
+#[test]
+fn a_request_without_a_free_canary_goes_to_its_own_pool() {
+    let mut rig = rig_with_canaries();
+    let mut in_canaries = 0;
+    for id in 1..20 {
+        let request = Request { canary_pool: Some(1), ..request(id, 7) };
+        in_canaries += u32::from(sent(&rig.event(Event::Request(request))).expect("an attempt") > 10);
+    }
+    assert_eq!(in_canaries, 6, "three near canaries with two places each");
+}
