Soak and status: roll-outs of versions, and one that nobody orders

Need: roll-outs had no run of real processes under faults, and no status. The soak's operator now orders one version after the other while processes are killed, paused and cut off: an acknowledged order stays readable, a final state never changes, none is under way 20 s past its term, and a version that nobody ordered gets no request. Old backends stop on delivered, new ones on returned. The status and its command list roll-outs with phase, share, time left and reason.

--- a/system/src/member/presence.rs
+++ b/system/src/member/presence.rs
@@ -254,6 +254,7 @@
             evacuated: state.evacuated.iter().cloned().collect(),
             gateways: state.gateways.values().map(gateway_status).collect(),
             services: services.collect(),
+            rollouts: Some(state.versions.rollouts.values().map(|rollout| rollout.status(now)).collect()),
             tenant_usage: self.quota_counters.usage(now).map(tenant_usage).collect(),
         }
     }
--- a/system/src/rollout/mod.rs
+++ b/system/src/rollout/mod.rs
@@ -10,6 +10,7 @@
 pub mod schedule;
 
 use crate::protocol::Backend;
+use crate::status::RolloutStatus;
 use messages::{AdmittedEditions, Phase, RolloutOrder, RolloutRecord, RolloutStep, VersionsRecord};
 use oakfall::Millis;
 use prost::Message;
@@ -54,6 +55,18 @@
         }
     }
 
+    /// Its status for operators.
+    pub fn status(&self, now: Millis) -> RolloutStatus {
+        RolloutStatus {
+            service: self.order.service.clone(),
+            to_edition: self.order.to_edition.clone(),
+            phase: self.phase.name().to_owned(),
+            share: self.share(),
+            remaining_ms: (self.ends_at - now).max(0.0) as u64,
+            reason: self.reason.clone(),
+        }
+    }
+
     fn record(&self, now: Millis) -> RolloutRecord {
         RolloutRecord {
             order: Some(self.order.clone()),
--- a/system/src/status.rs
+++ b/system/src/status.rs
@@ -76,6 +76,8 @@
     pub gateways: Vec<GatewayStatus>,
     /// Services with backends, by zone.
     pub services: Vec<ServiceStatus>,
+    /// The latest roll-out of each service that had one. `None` from releases that do not report them.
+    pub rollouts: Option<Vec<RolloutStatus>>,
     /// Usage of tenants, if this process counts it.
     #[serde(rename = "counts")]
     pub tenant_usage: Vec<TenantUsage>,
@@ -122,6 +124,23 @@
     pub max_concurrency: u64,
 }
 
+/// A roll-out.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RolloutStatus {
+    /// Name of the service.
+    pub service: String,
+    /// The version that its requests move to.
+    pub to_edition: String,
+    /// Its phase.
+    pub phase: String,
+    /// The new version's share of the requests.
+    pub share: f64,
+    /// Time left of its term, in ms.
+    pub remaining_ms: u64,
+    /// Why it is in this phase.
+    pub reason: String,
+}
+
 /// An invariant that was violated.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ViolationCount {
@@ -263,6 +282,14 @@
     for ServiceStatus { service, zone, open, closing, cold, max_concurrency } in &best.services {
         writeln!(text, "{service}\t{zone}\t{open}\t{closing}\t{cold}\t{max_concurrency}")?;
     }
+    let rollouts: Vec<_> = best.rollouts.iter().flatten().collect();
+    if !rollouts.is_empty() {
+        writeln!(text, "\nroll-out\tto\tphase\tshare\ts left\treason")?;
+    }
+    for RolloutStatus { service, to_edition, phase, share, remaining_ms, reason } in rollouts {
+        let left_s = *remaining_ms as f64 / 1000.0;
+        writeln!(text, "{service}\t{to_edition}\t{phase}\t{share:.2}\t{left_s:.1}\t{reason}")?;
+    }
     if !best.tenant_usage.is_empty() {
         writeln!(text, "\ntenant\tunits in this window\ta second")?;
     }
--- a/system/tests/processes/mod.rs
+++ b/system/tests/processes/mod.rs
@@ -231,8 +231,9 @@
             "sender:\n  node: \"{name}\"\n  role: \"any\"\n  machine_class: \"{class}\"\n  ip: \"{ip}\"\n  zone: \"a\"\n  \
              region: \"r\"\n  first_start: {first_start}\n  data_dir: \"{}\"\n  limits:\n    memory_mb: 256\n    fds: 1000\n\
              network:\n  docks_at:\n{docks}  inner_ports:\n    - {}\n    - {}\n  seeds:\n{seeds}{relays}  zones:\n    a: \"r\"\n\
-             carrier:\n  beat: \"1500ms\"\ntariffs:\n  bounds:\n    ack: \"8000ms\"\n    grace: \"6s\"\n    closed: true\n    \
-             revoke: \"5000ms\"\n    quota_slack: 20\n    ttl_max: \"5s\"\n",
+             carrier:\n  beat: \"1500ms\"\ntariffs:\n  contracts:\n    - \"rollout\"\n  \
+             bounds:\n    ack: \"8000ms\"\n    grace: \"6s\"\n    closed: true\n    \
+             revoke: \"5000ms\"\n    quota_slack: 20\n    expose_share: 0.5\n    ttl_max: \"5s\"\n",
             data.display(),
             inner,
             inner + 1,
--- a/system/tests/rollouts.rs
+++ b/system/tests/rollouts.rs
@@ -133,6 +133,23 @@
     }
 }
 
+/// A configuration without the service ends its roll-out.
+#[test]
+fn a_rollout_of_a_removed_service_returns() {
+    let mut world = started_world(31);
+    assert_eq!(order(&mut world, 0, ORDER), 200);
+    let version = world.model.add_version(world.now, 2, 1);
+    let removed = config_body(2, 1, version as u64).replace("\"s\"", "\"other\"");
+    assert_eq!(call(&mut world, 0, "POST", "/api/Config.Put", &removed).status, 200);
+    world.model.acknowledge(world.now, version);
+    world.run_until(world.now + 4_000.0);
+    let ended = progress(&mut world, 1);
+    assert!(ended.body.starts_with(r#"{"state":"returned""#), "{}", ended.body);
+    assert!(ended.body.contains("no longer holds the service"), "{}", ended.body);
+    let status = call(&mut world, 2, "GET", "/api/Status", "");
+    assert!(status.body.contains(r#""to_edition":"v2","phase":"returned""#), "{}", status.body);
+}
+
 #[test]
 fn orders_are_refused_without_a_majority() {
     let mut world = started_world(30);
--- a/system/tests/soak.rs
+++ b/system/tests/soak.rs
@@ -11,13 +11,14 @@
 mod processes;
 #[path = "soak/relay.rs"]
 mod relay;
+#[path = "soak/rollouts.rs"]
+mod rollouts;
 
 use callers::{edition_at, Results};
 use pipelining::PipeliningClient;
-use processes::{
-    backend, call, config, free_inner_ports, free_port, heartbeat_body, signal, start, until, Fleet, Process,
-};
+use processes::{call, config, free_inner_ports, free_port, signal, start, until, Fleet, Process};
 use relay::{start_relay, Blocked};
+use rollouts::{run_rollouts, RolloutCounts, VersionBackend};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -350,33 +351,20 @@
     }
 }
 
-/// Runs a backend that sends heartbeats and records the executed requests.
-fn run_backend(cores: Vec<String>, results: Arc<Results>) {
-    let (server, requests) = backend();
-    let shared = results.clone();
-    thread::spawn(move || {
-        for postmark in 1u64.. {
-            if shared.stopped() {
-                return;
-            }
-            let core = &cores[postmark as usize % cores.len()];
-            let body = heartbeat_body(&server, postmark).replace("\"berths\":2", "\"berths\":200");
-            drop(call(core, "POST", "/api/Instances.Beat/i-1", "", &body));
-            thread::park_timeout(Duration::from_millis(300));
-        }
-    });
-    thread::spawn(move || {
-        for request in requests {
-            let request = request.to_ascii_lowercase();
-            let id = request.split("request-id: ").nth(1).and_then(|rest| rest.split("\r\n").next());
-            let Some(id) = id.map(str::to_owned) else { continue };
-            if request.starts_with("post ") {
-                *results.runs.lock().expect("not poisoned").entry(id).or_default() += 1;
-            } else {
-                results.safe_runs.lock().expect("not poisoned").insert(id);
-            }
-        }
+/// Runs the backend of the first version, which is returned, and one of a version that nobody orders.
+fn run_backends(cores: &[String], results: &Arc<Results>) -> VersionBackend {
+    let recorded = results.clone();
+    let first =
+        VersionBackend::start("i-1", "v1", cores, results, move |request| recorded.record_run(request));
+    let first_request =
+        || call(&cores[0], "GET", "/api/Status", "", "").filter(|a| a.body.contains("\"s1\""));
+    until("the first backend", first_request);
+    let checked = results.clone();
+    VersionBackend::start("i-unordered", "v0", cores, results, move |request| {
+        let line = request.lines().next().unwrap_or_default();
+        checked.fail(format!("a version that nobody ordered got {line}"));
     });
+    first
 }
 
 /// Runs one seed: faults, recovery, and the final checks.
@@ -388,7 +376,7 @@
     let first = config(1, "0", r#""k1""#);
     let put = || call(&cores[0], "POST", "/api/Config.Put", "", &first).filter(|a| a.status == 200);
     until("the first acknowledgement", put);
-    run_backend(cores.clone(), results.clone());
+    let first_backend = run_backends(&cores, &results);
     for ready in &system.ready_addrs {
         until("a ready gateway", || call(ready, "GET", "/api/ready", "", "").filter(|a| a.status == 200));
     }
@@ -397,6 +385,9 @@
     callers.push(thread::spawn(move || callers::run_operator(seed, targets, shared)));
     let (targets, shared) = (cores.clone(), results.clone());
     callers.push(thread::spawn(move || callers::run_reader(seed, targets, shared)));
+    let rollout_counts = Arc::new(RolloutCounts::default());
+    let (targets, shared, counts) = (cores.clone(), results.clone(), rollout_counts.clone());
+    callers.push(thread::spawn(move || run_rollouts(seed, first_backend, targets, shared, counts)));
     for (number, address) in system.client_addrs.iter().enumerate() {
         let (address, shared, interruptions) =
             (address.clone(), results.clone(), system.proxies[number].interruptions.clone());
@@ -451,13 +442,16 @@
     let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
     println!(
         "seed {seed}: {gateways} gateways, {faults} faults, {} changes ({} responses lost), {} reads, {} of {} requests \
-         served, {} responses to pipelining clients",
+         served, {} responses to pipelining clients, {} roll-outs ({} delivered, {} returned)",
         count(&results.changes),
         count(&results.lost_responses),
         count(&results.reads),
         count(&results.served),
         count(&results.sent),
-        count(&results.pipelined)
+        count(&results.pipelined),
+        count(&rollout_counts.ordered),
+        count(&rollout_counts.delivered),
+        count(&rollout_counts.returned)
     );
     let failures = results.failures.lock().expect("not poisoned");
     assert!(failures.is_empty(), "seed {seed}: {failures:#?}");
--- a/system/tests/soak/callers.rs
+++ b/system/tests/soak/callers.rs
@@ -41,6 +41,18 @@
         self.failures.lock().expect("not poisoned").push(message);
     }
 
+    /// Records a request that a backend received.
+    pub fn record_run(&self, request: &str) {
+        let request = request.to_ascii_lowercase();
+        let id = request.split("request-id: ").nth(1).and_then(|rest| rest.split("\r\n").next());
+        let Some(id) = id.map(str::to_owned) else { return };
+        if request.starts_with("post ") {
+            *self.runs.lock().expect("not poisoned").entry(id).or_default() += 1;
+        } else {
+            self.safe_runs.lock().expect("not poisoned").insert(id);
+        }
+    }
+
     pub fn stopped(&self) -> bool {
         self.stopped.load(Ordering::Relaxed)
     }
