Lease of canaries: part of the replica, with a test of its own

Need: no test failed without the lease that lets a gateway send to a version that is not in service. The check moves beside the other leases of the replica, and the new test covers a gateway that was just started, one that no leader answers, and one in contact again.

--- a/system/src/proxy.rs
+++ b/system/src/proxy.rs
@@ -8,7 +8,7 @@
 use self::charging::ChargeRequest;
 use self::forwarded_messages::{backend_request, response_from_backend, SINGLETON_HEADERS};
 use self::state_updates::driver_settings;
-use self::versions::{holds_canary_lease, CanaryPool, ProxyObserver, VersionTracker};
+use self::versions::{CanaryPool, ProxyObserver, VersionTracker};
 use crate::agent;
 use crate::backend_protocol::HttpBackendProtocol;
 use crate::client_response::{client_response, ClientResponse};
@@ -670,7 +670,7 @@
     /// Draws whether a request of this pool's service tries its new version first.
     fn draw_canary_pool(&self, pool: u32) -> Option<u32> {
         let canary = *self.canary_pools.borrow().get(&pool)?;
-        let may_send = holds_canary_lease(self.replica.borrow().leader_contact_age(self.now()));
+        let may_send = self.replica.borrow().holds_canary_lease(self.now());
         (may_send && self.rng.borrow_mut().f64() < canary.share).then_some(canary.pool)
     }
 
--- a/system/src/proxy/versions.rs
+++ b/system/src/proxy/versions.rs
@@ -2,7 +2,6 @@
 
 use crate::metrics::Metrics;
 use crate::protocol::Backend;
-use crate::rollout::controller::LEASE_MS;
 use crate::rollout::evidence::{latency_bucket, LATENCY_BUCKETS, MAX_ROUTES};
 use crate::rollout::messages::{Counts, Phase, RouteCounts, VersionCounts};
 use crate::rollout::{Rollout, Versions};
@@ -230,11 +229,6 @@
     }
 }
 
-/// Whether the permission to send to new versions is still valid. It lapses without contact to a leader.
-pub(super) fn holds_canary_lease(leader_contact_age: Option<Millis>) -> bool {
-    leader_contact_age.is_some_and(|age| age < LEASE_MS)
-}
-
 /// Passes notifications of the driver on to the metrics and the version tracker.
 pub(super) struct ProxyObserver {
     pub(super) metrics: Rc<Metrics>,
--- a/system/src/replica.rs
+++ b/system/src/replica.rs
@@ -3,6 +3,7 @@
 
 use crate::protocol::{FromProxy, ToProxy};
 use crate::raft::MAX_ENTRY_VERSION;
+use crate::rollout::controller::LEASE_MS;
 use crate::rollout::messages::VersionCounts;
 use crate::settings::Bounds;
 use crate::state::{DigestCache, State, Touched};
@@ -80,6 +81,12 @@
         self.lease_ms.is_none_or(|lease_ms| self.leader_contact_age(now).is_some_and(|age| age < lease_ms))
     }
 
+    /// Whether the proxy may send requests to new versions that are not in service. The permission lapses without
+    /// contact to a leader.
+    pub fn holds_canary_lease(&self, now: Millis) -> bool {
+        self.leader_contact_age(now).is_some_and(|age| age < LEASE_MS)
+    }
+
     /// Until when backends not known to be cold count as warm.
     pub fn full_rate_until(&self) -> Millis {
         self.settled_at + FULL_RATE_MS
--- a/system/src/rollout/evidence.rs
+++ b/system/src/rollout/evidence.rs
@@ -2,8 +2,9 @@
 //! with the old one at the same time and on the same routes.
 //!
 //! Likelihood ratios are followed for each route and for all routes together: of error responses, of attempts without
-//! a response, and of successful responses that are slow, or very slow, by the old version's distribution. Each ratio restarts at its floor (a CUSUM test), so
-//! that a version that turns bad late is found as fast as one that is bad from the start.
+//! a response, and of successful responses that are slow, or very slow, by the old version's distribution. Each ratio
+//! restarts at its floor (a CUSUM test), so that a version that turns bad late is found as fast as one that is bad from
+//! the start.
 
 use super::messages::{Counts, VersionCounts};
 use std::collections::BTreeMap;
@@ -30,7 +31,7 @@
 const PRIOR_SHARE: f64 = 0.01;
 /// Responses of the old version that are needed for its distribution.
 const MIN_BASELINE_RESPONSES: f64 = 20.0;
-/// A gateway without a report for this many rounds keeps its counts; beyond this number of gateways none are added.
+/// Maximum number of gateways whose reports are kept.
 const MAX_GATEWAYS: usize = 4096;
 
 /// The bucket of a latency.
--- a/system/tests/rate_shares.rs
+++ b/system/tests/rate_shares.rs
@@ -88,3 +88,23 @@
     let apart = StateReplica::standalone(&bounds());
     assert!(apart.has_full_rate(1e12), "a replica without a leader always has the full rate");
 }
+
+/// A gateway that was just started, is cut off or was suspended sends nothing to a version that is not in service.
+#[test]
+fn the_permission_for_new_versions_lapses_without_a_leader() {
+    let mut replica = StateReplica::new(&bounds());
+    assert!(!replica.holds_canary_lease(0.0), "no contact yet");
+    let update = |sent_at: f64, age_ms: f64| ToProxy {
+        request_sent_at: Some(sent_at),
+        leader_contact_age_ms: age_ms,
+        ..ToProxy::default()
+    };
+    replica.apply(1_050.0, update(1_000.0, 100.0));
+    assert!(replica.holds_canary_lease(2_800.0));
+    assert!(!replica.holds_canary_lease(2_900.0), "2 s after the contact at 900 ms");
+    // The agent goes on, but no leader answers it.
+    replica.apply(3_000.0, update(2_950.0, 2_050.0));
+    assert!(!replica.holds_canary_lease(3_000.0));
+    replica.apply(3_500.0, update(3_400.0, 50.0));
+    assert!(replica.holds_canary_lease(5_300.0));
+}
