An update without acknowledgement while a proxy stands still: a test

It waits until each gateway has applied it or is out of contact, and an agent's reports count as contact while its proxy applies nothing.

--- a/system/tests/updates.rs
+++ b/system/tests/updates.rs
@@ -293,3 +293,30 @@
     let applied = agent_state::Event::ProxyMessage { link: 1, message: proxy_report(3) };
     assert_eq!(reports_sent(applied), [(leader.clone(), 3)]);
 }
+
+/// Guards against an update without an acknowledgement while a proxy stands still beside a running agent: the agent's
+/// reports say that the gateway is in contact, and the proxy never applies the update.
+#[test]
+fn an_update_is_acknowledged_while_a_proxy_stands_still() {
+    for seed in 0..8 {
+        let mut world = World::new(seed, 3, 0, 3, 0, 0);
+        world.start();
+        world.run_until(4_000.0);
+        world.pause_gateway(2, false, true, 30_000.0);
+        world.run_until(5_000.0);
+        let version = world.model.add_version(world.now, 1, 0);
+        let body = simulated::callers::config_body(1, 0, version as u64);
+        let sent_at = world.now;
+        let acknowledged = loop {
+            let token = world.call(0, "POST", "/api/Config.Put".into(), body.clone().into_bytes());
+            world.run_until(world.now + 1_000.0);
+            if world.replies.get(&token).is_some_and(|reply| reply.status == 200) {
+                break world.now - sent_at;
+            }
+            assert!(world.now - sent_at < 20_000.0, "seed {seed}: no acknowledgement");
+        };
+        let ack_ms = simulated::bounds().ack_timeout.as_secs_f64() * 1000.0;
+        assert!(acknowledged <= ack_ms, "seed {seed}: acknowledged after {acknowledged} ms");
+        world.model.acknowledge(world.now, version);
+    }
+}
