Roll-outs: work that nothing needs, and pieces that stood twice

Found by reading the change again; behaviour stays as it is. Without a roll-out, a proxy no longer goes over all backends for the tracker at each change of one, nor the leader over all gateways five times a second, and registering a backend of an admitted version scans no others. The driver tells the end of an attempt once instead of twice in a row; sums of counts, the phases with canaries and the time left of a term each stand in one place; a bare cost has a name.

--- a/src/bin/gateway/metrics.rs
+++ b/src/bin/gateway/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::logs::targets;
 use crate::status::{self, Process};
-use oakfall::plane::driver::Observer;
+use oakfall::plane::driver::{EndedAttempt, Observer};
 use oakfall::{CallResult, Reason};
 use prometheus_client::encoding::text::{encode_eof, encode_registry};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -431,8 +431,8 @@
         self.relayed.inc();
     }
 
-    fn attempt_ended(&self, result: CallResult) {
-        self.attempts[result as usize].inc();
+    fn attempt_ended(&self, attempt: &EndedAttempt) {
+        self.attempts[attempt.result as usize].inc();
     }
 
     fn counter_call_ended(&self, result: CallResult) {
--- a/src/choice/pick.rs
+++ b/src/choice/pick.rs
@@ -85,10 +85,8 @@
         let ready = || self.ready_backends(pool).filter(|b| zones >> b.listed.zone.min(63) & 1 == 1);
         let nearest = ready().map(|b| b.listed.distance_cost).fold(f64::INFINITY, f64::min);
         let free = ready().filter(|b| {
-            b.failure_points < EJECTION_POINTS
-                && f64::from(b.in_flight) < b.listed.size
-                && b.listed.distance_cost < nearest + 1.0
-                && self.has_rate_left(now, b)
+            let has_room = f64::from(b.in_flight) < b.listed.size && self.has_rate_left(now, b);
+            has_room && b.failure_points < EJECTION_POINTS && b.listed.distance_cost < nearest + NEAR_COST
         });
         free.min_by_key(|b| (b.in_flight, rng.u32(..))).map(|b| b.listed.id)
     }
--- a/src/choice/tuning.rs
+++ b/src/choice/tuning.rs
@@ -63,9 +63,11 @@
 /// and of gateways whose subsets contain a backend, so that none depends on a few.
 pub(super) const MIN_SUBSET_BACKENDS: f64 = 12.0;
 pub(super) const MIN_GATEWAYS_PER_BACKEND: f64 = 10.0;
-/// Cost of a backend outside the subset, and reduction for one with a warm-up token, in mean latencies.
+/// In mean latencies: cost of a backend outside the subset, reduction for one with a warm-up token, and
+/// distance beyond the nearest canary's up to which others count as near.
 pub(super) const OUTSIDE_SUBSET_COST: f64 = 1.0;
 pub(super) const WARM_UP_BONUS: f64 = 1.0;
+pub(super) const NEAR_COST: f64 = 1.0;
 /// Points of consecutive failures at which a backend is ejected. Resets get fewer: the network may cause one.
 pub(super) const EJECTION_POINTS: u32 = 4;
 pub(super) const FAILURE_POINTS: u32 = 2;
--- a/src/plane/driver.rs
+++ b/src/plane/driver.rs
@@ -105,8 +105,8 @@
     }
 }
 
-/// An attempt that has ended.
-pub struct FinishedAttempt<'a> {
+/// An attempt that has ended: its response is complete, or it has failed.
+pub struct EndedAttempt<'a> {
     /// The backend's name.
     pub backend: &'a str,
     /// The class of the request.
@@ -119,16 +119,14 @@
 
 /// Receives notifications for metrics and logs.
 pub trait Observer {
+    /// An attempt of a request of this class is sent to the backend of this name.
+    fn attempt_sent(&self, _backend: &str, _class: u32) {}
     /// An attempt ended.
-    fn attempt_ended(&self, result: CallResult);
+    fn attempt_ended(&self, attempt: &EndedAttempt);
     /// A call to the quota counter ended.
     fn counter_call_ended(&self, result: CallResult);
     /// A request was refused.
     fn request_refused(&self, reason: Reason);
-    /// An attempt of a request of this class is sent to the backend of this name.
-    fn attempt_sent(&self, _backend: &str, _class: u32) {}
-    /// That attempt ended: its response is complete, or it has failed.
-    fn attempt_finished(&self, _attempt: &FinishedAttempt) {}
     /// The request of an attempt was written completely.
     fn request_written(&self);
     /// The decision module logs a line.
@@ -568,7 +566,6 @@
         self: &Rc<Self>, id: RequestId, attempt: usize, backend: BackendId, took_ms: f64, result: CallResult,
         response: Option<AttemptResponse>,
     ) {
-        self.observer.attempt_ended(result);
         let inner = &mut *self.inner.borrow_mut();
         let Some(open) = inner.open.get_mut(&id) else { return };
         open.attempts[attempt] = None;
@@ -835,7 +832,7 @@
             let took = streamed.map(|response| response.took);
             let took_ms = took.unwrap_or_else(|| attempt.started.get().elapsed()).as_secs_f64() * 1000.0;
             let (name, class) = (&*attempt.backend_name, attempt.class);
-            driver.observer.attempt_finished(&FinishedAttempt { backend: name, class, result, took_ms });
+            driver.observer.attempt_ended(&EndedAttempt { backend: name, class, result, took_ms });
             driver.attempt_ended(id, number, backend, took_ms, result, response);
         });
         None
--- a/system/src/member/rollouts.rs
+++ b/system/src/member/rollouts.rs
@@ -109,7 +109,7 @@
     /// Proposes the steps of roll-outs that are due.
     pub(super) fn advance_rollouts(&mut self, now: Millis) {
         self.rollout_controller.forget_ended(&self.state.versions);
-        if !self.is_authoritative(now) {
+        if !self.is_authoritative(now) || self.state.versions.all_under_way().next().is_none() {
             return;
         }
         let presence = &self.presence;
--- a/system/src/metrics.rs
+++ b/system/src/metrics.rs
@@ -3,7 +3,7 @@
 use crate::invariants;
 use crate::quota::Verdict;
 use oakfall::plane::client_stream::ConnectionEnd;
-use oakfall::plane::driver::Observer;
+use oakfall::plane::driver::{EndedAttempt, Observer};
 use oakfall::{CallResult, Reason};
 use prometheus_client::encoding::text::{encode_eof, encode_registry};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -169,8 +169,8 @@
 }
 
 impl Observer for Metrics {
-    fn attempt_ended(&self, result: CallResult) {
-        self.attempts.get_or_create(&WhatLabel { what: result.name() }).inc();
+    fn attempt_ended(&self, attempt: &EndedAttempt) {
+        self.attempts.get_or_create(&WhatLabel { what: attempt.result.name() }).inc();
     }
 
     fn counter_call_ended(&self, _: CallResult) {}
--- a/system/src/proxy/versions.rs
+++ b/system/src/proxy/versions.rs
@@ -2,10 +2,10 @@
 
 use crate::metrics::Metrics;
 use crate::protocol::Backend;
-use crate::rollout::evidence::{latency_bucket, LATENCY_BUCKETS, MAX_ROUTES};
-use crate::rollout::messages::{Counts, Phase, RouteCounts, VersionCounts};
+use crate::rollout::evidence::{latency_bucket, RouteTally, LATENCY_BUCKETS, MAX_ROUTES};
+use crate::rollout::messages::{Counts, RouteCounts, VersionCounts};
 use crate::rollout::{Rollout, Versions};
-use oakfall::plane::driver::{FinishedAttempt, Observer};
+use oakfall::plane::driver::{EndedAttempt, Observer};
 use oakfall::{CallResult, Millis, Reason};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -66,11 +66,16 @@
         VersionTracker { incarnation, tracked: RefCell::default() }
     }
 
-    /// Follows the roll-outs under way.
+    /// Follows the roll-outs under way. Without one, the backends are not looked at.
     pub(super) fn update<'a>(
         &self, now: Millis, versions: &Versions, backends: impl Iterator<Item = SeenBackend<'a>>,
     ) {
         let tracked = &mut *self.tracked.borrow_mut();
+        if versions.all_under_way().next().is_none() {
+            tracked.rollouts.clear();
+            tracked.backends.clear();
+            return;
+        }
         tracked.rollouts.retain(|service, rollout| {
             versions.under_way(service).is_some_and(|current| current.generation == rollout.generation)
         });
@@ -135,8 +140,8 @@
         }
     }
 
-    fn attempt_finished(&self, now: Millis, attempt: &FinishedAttempt) {
-        let FinishedAttempt { backend, class, result, took_ms } = *attempt;
+    fn attempt_ended(&self, now: Millis, attempt: &EndedAttempt) {
+        let EndedAttempt { backend, class, result, took_ms } = *attempt;
         let tracked = &mut *self.tracked.borrow_mut();
         if let Some(count) = tracked.in_flight.get_mut(backend) {
             *count -= 1;
@@ -149,9 +154,8 @@
             CallResult::Ok => {
                 counts.succeeded += 1;
                 if seen.is_near && seen.warm_from <= now - took_ms {
-                    let bucket = latency_bucket(took_ms);
-                    counts.latencies.resize(LATENCY_BUCKETS.max(bucket + 1), 0);
-                    counts.latencies[bucket] += 1;
+                    counts.latencies.resize(LATENCY_BUCKETS, 0);
+                    counts.latencies[latency_bucket(took_ms)] += 1;
                 }
             }
             CallResult::Error => counts.failed += 1,
@@ -190,28 +194,17 @@
             })
             .collect();
         if !others.is_empty() {
-            let (mut new, mut old) = (Counts::default(), Counts::default());
+            let mut sum = RouteTally::default();
             for (_, counts) in others {
-                add_counts(&mut new, &counts.new);
-                add_counts(&mut old, &counts.old);
+                sum.new.add_counts(&counts.new);
+                sum.old.add_counts(&counts.old);
             }
-            routes.push(RouteCounts { route: 0, new: Some(new), old: Some(old) });
+            routes.push(RouteCounts { route: 0, new: Some(sum.new.into()), old: Some(sum.old.into()) });
         }
         routes
     }
 }
 
-fn add_counts(sum: &mut Counts, part: &Counts) {
-    sum.sent += part.sent;
-    sum.succeeded += part.succeeded;
-    sum.failed += part.failed;
-    sum.broken += part.broken;
-    sum.latencies.resize(sum.latencies.len().max(part.latencies.len()), 0);
-    for (total, count) in sum.latencies.iter_mut().zip(&part.latencies) {
-        *total += count;
-    }
-}
-
 /// A service whose new version may get requests from this gateway.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct CanaryPool {
@@ -224,8 +217,7 @@
 impl CanaryPool {
     /// The canary pool by a roll-out's progress; none while the new version is closed, or serves alone.
     pub(super) fn of(rollout: &Rollout, pool: u32) -> Option<Self> {
-        let is_open = matches!(rollout.phase, Phase::Canary | Phase::Shifting);
-        is_open.then(|| CanaryPool { pool, share: rollout.share() })
+        rollout.phase.has_canaries().then(|| CanaryPool { pool, share: rollout.share() })
     }
 }
 
@@ -237,8 +229,13 @@
 }
 
 impl Observer for ProxyObserver {
-    fn attempt_ended(&self, result: CallResult) {
-        self.metrics.attempt_ended(result);
+    fn attempt_sent(&self, backend: &str, class: u32) {
+        self.versions.attempt_sent(backend, class);
+    }
+
+    fn attempt_ended(&self, attempt: &EndedAttempt) {
+        self.versions.attempt_ended(self.started.elapsed().as_secs_f64() * 1000.0, attempt);
+        self.metrics.attempt_ended(attempt);
     }
 
     fn counter_call_ended(&self, result: CallResult) {
@@ -249,14 +246,6 @@
         self.metrics.request_refused(reason);
     }
 
-    fn attempt_sent(&self, backend: &str, class: u32) {
-        self.versions.attempt_sent(backend, class);
-    }
-
-    fn attempt_finished(&self, attempt: &FinishedAttempt) {
-        self.versions.attempt_finished(self.started.elapsed().as_secs_f64() * 1000.0, attempt);
-    }
-
     fn request_written(&self) {
         self.metrics.request_written();
     }
--- a/system/src/rollout/controller.rs
+++ b/system/src/rollout/controller.rs
@@ -137,7 +137,7 @@
             phase: phase as i32,
             share_ppm,
             reason,
-            remaining_ms: (rollout.ends_at - now).max(0.0) as u64,
+            remaining_ms: rollout.remaining_ms(now),
         })
     }
 }
--- a/system/src/rollout/evidence.rs
+++ b/system/src/rollout/evidence.rs
@@ -86,19 +86,22 @@
         )
     }
 
-    fn add(&mut self, counts: &Counts) {
-        self.sent = self.sent.saturating_add(counts.sent);
-        self.succeeded = self.succeeded.saturating_add(counts.succeeded);
-        self.failed = self.failed.saturating_add(counts.failed);
-        self.broken = self.broken.saturating_add(counts.broken);
-        for (sum, count) in self.latencies.iter_mut().zip(&counts.latencies) {
-            *sum = sum.saturating_add(*count);
-        }
+    /// Adds a report's counts.
+    pub fn add_counts(&mut self, counts: &Counts) {
+        let Counts { sent, succeeded, failed, broken, latencies: reported } = counts;
+        let mut latencies = [0; LATENCY_BUCKETS];
+        latencies.iter_mut().zip(reported).for_each(|(count, reported)| *count = *reported);
+        self.add(&Tally { sent: *sent, succeeded: *succeeded, failed: *failed, broken: *broken, latencies });
     }
 
-    fn add_tally(&mut self, other: &Tally) {
-        let Tally { sent, succeeded, failed, broken, latencies } = *other;
-        self.add(&Counts { sent, succeeded, failed, broken, latencies: latencies.to_vec() });
+    fn add(&mut self, other: &Tally) {
+        self.sent = self.sent.saturating_add(other.sent);
+        self.succeeded = self.succeeded.saturating_add(other.succeeded);
+        self.failed = self.failed.saturating_add(other.failed);
+        self.broken = self.broken.saturating_add(other.broken);
+        for (sum, count) in self.latencies.iter_mut().zip(&other.latencies) {
+            *sum = sum.saturating_add(*count);
+        }
     }
 
     /// What came since `earlier`.
@@ -117,6 +120,13 @@
     }
 }
 
+impl From<Tally> for Counts {
+    fn from(tally: Tally) -> Counts {
+        let Tally { sent, succeeded, failed, broken, latencies } = tally;
+        Counts { sent, succeeded, failed, broken, latencies: latencies.to_vec() }
+    }
+}
+
 /// The counts of both versions on one route.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RouteTally {
@@ -127,6 +137,11 @@
 }
 
 impl RouteTally {
+    fn add(&mut self, other: &RouteTally) {
+        self.new.add(&other.new);
+        self.old.add(&other.old);
+    }
+
     /// What both versions have shown, for logs and operators.
     pub fn describe(&self) -> String {
         format!("new version {}; old one {}", self.new.describe(), self.old.describe())
@@ -140,8 +155,8 @@
     for route in counts.routes.iter().take(MAX_ROUTES + 1) {
         let is_known = totals.contains_key(&route.route) || totals.len() < MAX_ROUTES;
         let tally = totals.entry(if is_known { route.route } else { 0 }).or_default();
-        tally.new.add(route.new.as_ref().unwrap_or(&Counts::default()));
-        tally.old.add(route.old.as_ref().unwrap_or(&Counts::default()));
+        route.new.iter().for_each(|counts| tally.new.add_counts(counts));
+        route.old.iter().for_each(|counts| tally.old.add_counts(counts));
     }
 }
 
@@ -317,9 +332,7 @@
         for gateway in self.gateways.values() {
             add_counts(&mut totals, &gateway.latest);
             for (route, tally) in &gateway.earlier {
-                let sum = totals.entry(*route).or_default();
-                sum.new.add_tally(&tally.new);
-                sum.old.add_tally(&tally.old);
+                totals.entry(*route).or_default().add(tally);
             }
         }
         totals
@@ -334,10 +347,8 @@
             let judged = self.judged.get(route).copied().unwrap_or_default();
             let recent = RouteTally { new: tally.new.since(&judged.new), old: tally.old.since(&judged.old) };
             self.by_route.entry(*route).or_default().observe(&recent, is_canary);
-            for (sum, part) in [(&mut all, tally), (&mut all_recent, &recent)] {
-                sum.new.add_tally(&part.new);
-                sum.old.add_tally(&part.old);
-            }
+            all.add(tally);
+            all_recent.add(&recent);
         }
         self.all_routes.observe(&all_recent, is_canary);
         self.judged = totals;
--- a/system/src/rollout/messages.rs
+++ b/system/src/rollout/messages.rs
@@ -28,6 +28,11 @@
         matches!(self, Phase::Delivered | Phase::Returned)
     }
 
+    /// Whether requests are drawn for canaries of the new version.
+    pub fn has_canaries(self) -> bool {
+        matches!(self, Phase::Canary | Phase::Shifting)
+    }
+
     /// Whether a step may lead from this phase to `next`.
     pub fn may_precede(self, next: Phase) -> bool {
         match self {
--- a/system/src/rollout/mod.rs
+++ b/system/src/rollout/mod.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Time left of its term, in ms; zero after it.
+    pub fn remaining_ms(&self, now: Millis) -> u64 {
+        (self.ends_at - now).max(0.0) as u64
+    }
+
     /// Its status for operators.
     pub fn status(&self, now: Millis) -> RolloutStatus {
         RolloutStatus {
@@ -62,7 +67,7 @@
             to_edition: self.order.to_edition.clone(),
             phase: self.phase.name().to_owned(),
             share: self.share(),
-            remaining_ms: (self.ends_at - now).max(0.0) as u64,
+            remaining_ms: self.remaining_ms(now),
             reason: self.reason.clone(),
         }
     }
@@ -75,7 +80,7 @@
             phase: self.phase as i32,
             share_ppm: self.share_ppm,
             reason: self.reason.clone(),
-            remaining_ms: (self.ends_at - now).max(0.0) as u64,
+            remaining_ms: self.remaining_ms(now),
         }
     }
 
@@ -125,16 +130,16 @@
     /// far, `others` are the service's other registrations, and `may_route` tells whether there is a
     /// configuration yet.
     pub fn backend_registered<'a>(
-        &mut self, backend: &Backend, former: Option<&Backend>, others: impl Iterator<Item = &'a Backend>,
-        may_route: bool,
+        &mut self, backend: &Backend, former: Option<&Backend>,
+        mut others: impl Iterator<Item = &'a Backend>, may_route: bool,
     ) {
         let Backend { service, edition, .. } = backend;
-        if self.rollouts.contains_key(service) {
+        if self.rollouts.contains_key(service) || self.is_admitted(service, edition) {
             return;
         }
         // Releases without versions registered backends without one.
         let was_unversioned = former.is_some_and(|former| former.edition.is_empty());
-        let has_admitted = others.into_iter().any(|other| self.is_admitted(service, &other.edition));
+        let has_admitted = others.any(|other| self.is_admitted(service, &other.edition));
         let editions = self.admitted.entry(service.clone()).or_default();
         if (!may_route || was_unversioned || !has_admitted) && editions.len() < MAX_ADMITTED {
             editions.insert(edition.clone());
--- a/system/src/rollout/placement.rs
+++ b/system/src/rollout/placement.rs
@@ -34,7 +34,7 @@
         region: impl Fn(&str) -> Option<&'a str>, is_evacuated: impl Fn(&str) -> bool,
     ) -> Self {
         let mut canaries = BTreeSet::new();
-        for rollout in versions.all_under_way().filter(|rollout| has_canaries(rollout)) {
+        for rollout in versions.all_under_way().filter(|rollout| rollout.phase.has_canaries()) {
             let open = backends.clone().filter(|backend| {
                 backend.service == rollout.order.service && !backend.draining && !is_evacuated(&backend.zone)
             });
@@ -65,10 +65,6 @@
     }
 }
 
-fn has_canaries(rollout: &Rollout) -> bool {
-    matches!(rollout.phase, Phase::Canary | Phase::Shifting)
-}
-
 /// The load of a canary, as part of a usual backend's: it may be one of the slower ones, and gateways don't know of each
 /// other's requests.
 const CANARY_LOAD: f64 = 0.6;
