--- /dev/null
+++ b/review/standin-2.rs
@@ -0,0 +1,604 @@
+//! Stand-ins of the second review: a platform that starts the project's programs, backends, an operator and
+//! clients. Built by `review/build-2.sh` with `rustc` alone; `review/N/run.sh` starts it with the name of a case.
+//!
+//! It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitCode, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+type Result<T> = std::result::Result<T, String>;
+
+// ---- Record ----------------------------------------------------------------------------------------------
+
+/// What was sent, answered and run, with the time since the start in ms.
+#[derive(Clone)]
+struct Record {
+    started: Instant,
+    lines: Arc<Mutex<Vec<(u128, String)>>>,
+}
+
+impl Record {
+    fn new() -> Self {
+        Record { started: Instant::now(), lines: Arc::default() }
+    }
+
+    fn note(&self, line: impl Into<String>) {
+        self.lines.lock().unwrap().push((self.started.elapsed().as_micros(), line.into()));
+    }
+
+    fn write(&self, file: &Path) {
+        let mut lines = self.lines.lock().unwrap().clone();
+        lines.sort_by_key(|(at, _)| *at);
+        let mut text = String::new();
+        for (at, line) in lines {
+            let _ = writeln!(text, "{:>10.3} ms  {line}", at as f64 / 1000.0);
+        }
+        let _ = std::fs::write(file, text);
+    }
+}
+
+// ---- HTTP ------------------------------------------------------------------------------------------------
+
+#[derive(Clone, Debug)]
+struct Answer {
+    status: u16,
+    body: String,
+}
+
+/// Sends one request on a connection of its own. None without a whole answer.
+fn call(addr: &str, method: &str, path: &str, headers: &str, body: &[u8], timeout: Duration) -> Option<Answer> {
+    let addr: SocketAddr = addr.parse().ok()?;
+    let mut stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(timeout)).ok()?;
+    let length = body.len();
+    let mut request =
+        format!("{method} {path} HTTP/1.1\r\n{headers}Connection: close\r\nContent-Length: {length}\r\n\r\n").into_bytes();
+    request.extend_from_slice(body);
+    stream.write_all(&request).ok()?;
+    let mut reader = BufReader::new(stream);
+    let (head, fields) = read_head(&mut reader)?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let mut body = Vec::new();
+    match fields.get("content-length").and_then(|length| length.parse::<usize>().ok()) {
+        Some(length) => {
+            body.resize(length, 0);
+            reader.read_exact(&mut body).ok()?;
+        }
+        None => drop(reader.read_to_end(&mut body).ok()?),
+    }
+    Some(Answer { status, body: String::from_utf8_lossy(&body).into_owned() })
+}
+
+/// Reads a head: its first line, and its fields with names in lower case.
+fn read_head(reader: &mut impl BufRead) -> Option<(String, BTreeMap<String, String>)> {
+    let mut first = String::new();
+    if reader.read_line(&mut first).ok()? == 0 {
+        return None;
+    }
+    let mut fields = BTreeMap::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            return Some((first.trim_end().to_owned(), fields));
+        }
+        if let Some((name, value)) = line.split_once(':') {
+            fields.insert(name.trim().to_ascii_lowercase(), value.trim().to_owned());
+        }
+    }
+}
+
+// ---- Platform --------------------------------------------------------------------------------------------
+
+struct Process {
+    child: Child,
+}
+
+impl Process {
+    fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+    }
+
+    fn has_exited(&mut self) -> bool {
+        self.child.try_wait().ok().flatten().is_some()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Gateway {
+    _agent: Process,
+    _proxy: Process,
+    front: String,
+    ready: String,
+}
+
+/// A small deployment on loopback: core machines at 127.0.0.2 and up, gateways at 127.0.0.20 and up.
+struct Deployment {
+    folder: PathBuf,
+    root: PathBuf,
+    inner_port: u16,
+    seeds: Vec<String>,
+    used_ports: BTreeSet<u16>,
+    seed: u64,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Deployment {
+    fn new(cores: usize) -> Result<Self> {
+        let root = std::env::current_dir().map_err(|e| e.to_string())?;
+        let folder = std::env::temp_dir().join(format!("oakfall-review-2-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
+        let seed = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(1, |time| time.as_nanos() as u64)
+            ^ u64::from(std::process::id()) << 32;
+        let mut deployment =
+            Deployment { folder, root, inner_port: 0, seeds: Vec::new(), used_ports: BTreeSet::new(), seed };
+        deployment.inner_port = deployment.two_free_ports();
+        for number in 0..cores {
+            let ip = format!("127.0.0.{}", number + 2);
+            let port = deployment.two_free_ports();
+            deployment.seeds.push(format!("{ip}:{port}"));
+        }
+        Ok(deployment)
+    }
+
+    fn random(&mut self) -> u64 {
+        self.seed = self.seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        self.seed >> 33
+    }
+
+    /// Two free ports outside the ephemeral range, so that they stay free while a process restarts.
+    fn two_free_ports(&mut self) -> u16 {
+        loop {
+            let port = 10_000 + (self.random() % 20_000) as u16;
+            let free = |port: u16| {
+                (1..40).all(|host| TcpListener::bind((format!("127.0.0.{host}").as_str(), port)).is_ok())
+            };
+            if (port - 1..=port + 2).all(|port| !self.used_ports.contains(&port)) && free(port) && free(port + 1) {
+                self.used_ports.extend([port, port + 1]);
+                return port;
+            }
+        }
+    }
+
+    /// Writes a settings file as `DEPLOY.md` describes it, with the bounds of the small site.
+    fn settings(&self, name: &str, role: &str, ip: &str, class: &str, docks: &str, inner: u16, first_start: bool) -> Result<PathBuf> {
+        let data = self.folder.join(name);
+        std::fs::create_dir_all(&data).map_err(|e| e.to_string())?;
+        let (data_dir, counted) = match class {
+            "sorting" => (format!("\"{}\"", data.display()), true),
+            _ => ("null".to_owned(), false),
+        };
+        let seeds: String = self.seeds.iter().map(|seed| format!("    - \"{seed}\"\n")).collect();
+        let text = format!(
+            "sender:\n  node: \"{name}\"\n  role: \"{role}\"\n  machine_class: \"{class}\"\n  ip: \"{ip}\"\n  zone: \"bangor-a\"\n  \
+             region: \"ne-north\"\n  counted: {counted}\n  first_start: {first_start}\n  data_dir: {data_dir}\n  limits:\n    \
+             cpu_share: 0.6\n    cores: 1\n    memory_mb: 256\n    fds: 4096\n    link_mbps: 1000.0\n    disk_mb: 256\n\
+             network:\n  docks_at:\n{docks}  inner_ports:\n    - {inner}\n    - {}\n  seeds:\n{seeds}  zones:\n    \
+             bangor-a: \"ne-north\"\n    portland-b: \"ne-north\"\n\
+             carrier:\n  discovery: \"enrol\"\n  entry: \"gazetteer\"\n  beat: \"1500ms\"\n\
+             tariffs:\n  contracts:\n    - \"base\"\n    - \"drain\"\n    - \"config\"\n    - \"cost\"\n    - \"retry\"\n    \
+             - \"recover\"\n    - \"places\"\n    - \"tenants\"\n    - \"quota\"\n  tolerate:\n    machines: 1\n    zones: 1\n    \
+             regions: 0\n  bounds:\n    seed_lag: \"3s\"\n    reuse_after: \"2s\"\n    touch: \"5000ms\"\n    ack: \"8000ms\"\n    \
+             catch_up: \"4s\"\n    drain: \"2500ms\"\n    grace: \"6s\"\n    lost_time: \"200ms\"\n    edition_time: \"2500ms\"\n    \
+             back: \"250ms\"\n    outer: \"10000ms\"\n    closed: true\n    revoke: \"5000ms\"\n    retry_ratio: 0.2\n    \
+             retry_window: \"10s\"\n    retry_slack: 56\n    quota_window: \"5s\"\n    quota_over: 0.1\n    quota_slack: 20\n    \
+             cold_over: 1.5\n    cold_slack: 5\n    evac: \"5000ms\"\n    recover: \"15s\"\n    ttl_max: \"5s\"\n",
+            inner + 1,
+        );
+        let file = self.folder.join(format!("{name}.yaml"));
+        std::fs::write(&file, text).map_err(|e| e.to_string())?;
+        Ok(file)
+    }
+
+    /// Starts a program with its command from the deploy file.
+    fn start(&self, command: &str, settings: &Path) -> Result<Process> {
+        let log_name = format!("{}-{}.log", settings.file_stem().unwrap_or_default().to_string_lossy(), command.replace(['/', ' '], "_"));
+        let log = std::fs::File::options().create(true).append(true).open(self.folder.join(log_name)).map_err(|e| e.to_string())?;
+        let mut parts = command.split(' ');
+        let program = self.root.join(parts.next().unwrap_or_default());
+        let child = Command::new(&program)
+            .args(parts)
+            .env("OAKFALL_BOOT", settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(|e| format!("{}: {e}", program.display()))?;
+        Ok(Process { child })
+    }
+
+    fn core(&self, number: usize, first_start: bool) -> Result<Process> {
+        let (ip, seed) = (format!("127.0.0.{}", number + 2), &self.seeds[number]);
+        let docks = format!("    control: \"{seed}\"\n");
+        let settings =
+            self.settings(&format!("sorting-{number}"), "narcissus", &ip, "sorting", &docks, self.inner_port, first_start)?;
+        self.start("target/release/oakfall-core run", &settings)
+    }
+
+    fn gateway(&mut self, number: usize) -> Result<Gateway> {
+        let ip = format!("127.0.0.{}", number + 20);
+        // Agents accept their proxies at 127.0.0.1, so each machine here needs ports of its own; those of the core
+        // are the first of the range that the others dial.
+        let (front, ready) = (self.two_free_ports(), self.two_free_ports());
+        let (front, ready) = (format!("{ip}:{front}"), format!("{ip}:{ready}"));
+        let docks = format!("    front: \"{front}\"\n    ready: \"{ready}\"\n");
+        let settings = self.settings(&format!("counter-{number}"), "pelion", &ip, "counter", &docks, self.inner_port, true)?;
+        let agent = self.start("target/release/oakfall-agent run", &settings)?;
+        let proxy = self.start("target/release/oakfall-proxy run", &settings)?;
+        Ok(Gateway { _agent: agent, _proxy: proxy, front, ready })
+    }
+
+    /// Calls one core process after the other until one answers below 500, as the operator does.
+    fn order(&self, record: &Record, method: &str, path: &str, body: &str, limit: Duration) -> Result<Answer> {
+        let (start, mut last) = (Instant::now(), None);
+        let mut turn = 0;
+        while start.elapsed() < limit {
+            let seed = &self.seeds[turn % self.seeds.len()];
+            turn += 1;
+            let patience = Duration::from_millis(1000 + body.len() as u64 / 1000);
+            let json = "Content-Type: application/json\r\n";
+            match call(seed, method, path, json, body.as_bytes(), patience) {
+                Some(answer) if answer.status < 500 && answer.status != 408 && answer.status != 429 => return Ok(answer),
+                answer => last = answer,
+            }
+            thread::sleep(Duration::from_millis(100 + 20 * turn.min(20) as u64));
+        }
+        record.note(format!("operator: {method} {path} has no clear answer: {last:?}"));
+        Err(format!("{method} {path}: no answer"))
+    }
+
+    fn wait_ready(&self, gateway: &Gateway) -> Result<()> {
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_secs(20) {
+            let answer = call(&gateway.ready, "GET", "/api/ready", "", b"", Duration::from_secs(1));
+            if answer.is_some_and(|answer| answer.status == 200) {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Err("the gateway is not ready".to_owned())
+    }
+}
+
+// ---- Backends --------------------------------------------------------------------------------------------
+
+/// What a backend does with the next request, decided by the case.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Behavior {
+    /// Run it for this long and answer.
+    Answer(Duration),
+    /// Run it for this long, and close the connection without an answer.
+    LoseAnswer(Duration),
+}
+
+struct Run {
+    backend: String,
+    request: String,
+    target: String,
+    at: Instant,
+}
+
+struct Backend {
+    id: String,
+    service: String,
+    zone: String,
+    address: String,
+    stopped: Arc<AtomicBool>,
+}
+
+#[derive(Clone, Default)]
+struct Runs(Arc<Mutex<Vec<Run>>>);
+
+/// Starts a backend: it listens, and sends its beats to the core.
+fn start_backend(
+    deployment: &Deployment, record: &Record, runs: &Runs, id: &str, service: &str, zone: &str,
+    behavior: impl Fn(&str, &str) -> Behavior + Send + Sync + 'static,
+) -> Result<Backend> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?.to_string();
+    let stopped = Arc::new(AtomicBool::new(false));
+    let behavior = Arc::new(behavior);
+    let backend = Backend {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        zone: zone.to_owned(),
+        address: address.clone(),
+        stopped: stopped.clone(),
+    };
+    let (record_of, runs, name) = (record.clone(), runs.clone(), id.to_owned());
+    let accept_stopped = stopped.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            if accept_stopped.load(Ordering::SeqCst) {
+                return;
+            }
+            let (record, runs, name, behavior) = (record_of.clone(), runs.clone(), name.clone(), behavior.clone());
+            thread::spawn(move || drop(serve(stream, &record, &runs, &name, &*behavior)));
+        }
+    });
+    let (seeds, beat) = (deployment.seeds.clone(), (id.to_owned(), service.to_owned(), zone.to_owned(), address));
+    thread::spawn(move || {
+        let (id, service, zone, address) = beat;
+        let mut postmark = 0;
+        let mut turn = 0;
+        while !stopped.load(Ordering::SeqCst) {
+            postmark += 1;
+            let body = format!(
+                r#"{{"service":"{service}","address":"{address}","zone":"{zone}","edition":"v1","berths":6,"state":"open","cold_time":"0ms","postmark":{postmark}}}"#
+            );
+            for _ in 0..3 {
+                let json = "Content-Type: application/json\r\n";
+                let path = format!("/api/Instances.Beat/{id}");
+                let answer = call(&seeds[turn % seeds.len()], "POST", &path, json, body.as_bytes(), Duration::from_secs(1));
+                if answer.is_some_and(|answer| answer.status < 300) {
+                    break;
+                }
+                turn += 1;
+            }
+            thread::sleep(Duration::from_millis(1500));
+        }
+    });
+    Ok(backend)
+}
+
+/// Serves one connection of a backend.
+fn serve(
+    stream: TcpStream, record: &Record, runs: &Runs, name: &str, behavior: &dyn Fn(&str, &str) -> Behavior,
+) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
+    // A backend closes idle connections after a time.
+    stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    let mut reader = BufReader::new(stream);
+    loop {
+        let (first, fields) = read_head(&mut reader)?;
+        let mut parts = first.split(' ');
+        let (method, target) = (parts.next()?.to_owned(), parts.next()?.to_owned());
+        let length = fields.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        reader.read_exact(&mut body).ok()?;
+        let id = fields.get("request-id").cloned().unwrap_or_default();
+        if target == "/health" {
+            let answer = format!("HTTP/1.1 200 OK\r\nInstance: {name}\r\nContent-Length: 0\r\n\r\n");
+            reader.get_mut().write_all(answer.as_bytes()).ok()?;
+            continue;
+        }
+        if fields.get("expect-instance").is_some_and(|expected| expected != name) {
+            let answer = format!("HTTP/1.1 421 Other\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            reader.get_mut().write_all(answer.as_bytes()).ok()?;
+            continue;
+        }
+        runs.0.lock().unwrap().push(Run {
+            backend: name.to_owned(),
+            request: id.clone(),
+            target: target.clone(),
+            at: Instant::now(),
+        });
+        let behavior = behavior(&id, &target);
+        record.note(format!("backend {name} runs {id}: {method} {target}, {behavior:?}"));
+        match behavior {
+            Behavior::LoseAnswer(work) => {
+                thread::sleep(work);
+                let _ = reader.get_mut().shutdown(Shutdown::Both);
+                return None;
+            }
+            Behavior::Answer(work) => {
+                thread::sleep(work);
+                let text = format!("{name} {id}");
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nStamp: {name}.{id}\r\nContent-Length: {}\r\n\r\n{text}",
+                    text.len()
+                );
+                reader.get_mut().write_all(answer.as_bytes()).ok()?;
+            }
+        }
+    }
+}
+
+/// Waits until the core lists this many open backends.
+fn wait_for_backends(deployment: &Deployment, number: usize) -> Result<()> {
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(20) {
+        let mut listed = 0;
+        if let Some(status) = call(&deployment.seeds[0], "GET", "/api/Status", "", b"", Duration::from_secs(1)) {
+            let mut rest = status.body.as_str();
+            while let Some(at) = rest.find("\"open\":") {
+                rest = &rest[at + 7..];
+                let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+                listed += digits.parse::<usize>().unwrap_or(0);
+            }
+        }
+        if listed >= number {
+            return Ok(());
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    Err("the backends are not registered".to_owned())
+}
+
+// ---- Configurations --------------------------------------------------------------------------------------
+
+const LIMITS: &str = r#""limits":{"label_bytes":16384,"body_bytes":67108864,"label_time":"3000ms","idle":"15000ms"}"#;
+
+fn route(name: &str, kind: &str, prefix: &str, service: &str, timeout: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","kind":"{kind}","target":"500ms","priority":1,"unstamped":false,"sorting":{{"lane_prefix":"{prefix}"}},"dispatch":{{"service":"{service}","timeout":"{timeout}","attempts":2,"home_regions":[]}}}}"#
+    )
+}
+
+fn service(name: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","health_path":"/health","conn_cap":110,"protocol":"h1","sealed":false,"cold":"3s","cold_per_s":22.0}}"#
+    )
+}
+
+fn full_config(edition: u64, based_on: &str, routes: &str, services: &[&str]) -> String {
+    let services: Vec<String> = services.iter().map(|name| service(name)).collect();
+    format!(
+        r#"{{"edition":"r{edition}","based_on":"{based_on}",{LIMITS},"patrons":[{{"name":"tenant1","stamps":["key1"],"priority":1,"per_s":0,"burst":0,"home_regions":[]}}],"docks":[{{"depot":"pickup.example","regulations":[{routes}]}}],"fleets":[{}]}}"#,
+        services.join(",")
+    )
+}
+
+/// Requests of a client, as the pages allow them: a key, an id of its own and a deadline.
+fn client_headers(id: &str, deadline_ms: u64) -> String {
+    format!("Host: pickup.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nAuthorization: Bearer key1\r\n")
+}
+
+// ---- Case: routes come and go ----------------------------------------------------------------------------
+
+/// Routes that each change adds and the next one removes; the largest `big_config` of the pages adds 410.
+const CHURN_ROUTES: usize = 410;
+/// Changes; the pages speak of hundreds in a day.
+const CHURN_CHANGES: usize = 41;
+const BOOKINGS: usize = 400;
+const LOST_PER_CENT: u64 = 5;
+
+/// Many versions add routes and remove them again. Then a version adds two routes, one for bookings (`unsafe`) and
+/// one for look-ups (`safe`), and some backends lose the answers of bookings that they ran.
+fn route_churn(record: &Record, trouble: bool) -> Result<bool> {
+    let mut deployment = Deployment::new(3)?;
+    let _cores = (0..3).map(|number| deployment.core(number, true)).collect::<Result<Vec<_>>>()?;
+    let limit = Duration::from_secs(20);
+    let first = full_config(1, "0", &route("r-first", "safe", "/first/", "stocklook", "2000ms"), &["stocklook", "holdbook"]);
+    let answer = deployment.order(record, "POST", "/api/Config.Put", &first, limit)?;
+    record.note(format!("operator: Config.Put r1: {}", answer.status));
+    let gateway = deployment.gateway(0)?;
+    let runs = Runs::default();
+    for number in 0..4 {
+        // Half of the backends lose some answers: `answer_lost` with share 0.5 and x 0.05.
+        let loses = number < 2;
+        let count = AtomicU64::new(0);
+        start_backend(&deployment, record, &runs, &format!("i-hold-{number}"), "holdbook", "bangor-a", move |_, target| {
+            let work = Duration::from_millis(5);
+            let turn = count.fetch_add(1, Ordering::SeqCst);
+            if loses && target.starts_with("/hold/") && turn % (100 / LOST_PER_CENT) == 7 {
+                Behavior::LoseAnswer(work)
+            } else {
+                Behavior::Answer(work)
+            }
+        })?;
+    }
+    start_backend(&deployment, record, &runs, "i-stock-0", "stocklook", "bangor-a", |_, _| {
+        Behavior::Answer(Duration::from_millis(5))
+    })?;
+    wait_for_backends(&deployment, 5)?;
+    deployment.wait_ready(&gateway)?;
+    let mut edition = 1;
+    let mut withdrawn = String::new();
+    let changes = if trouble { CHURN_CHANGES } else { 0 };
+    for change in 0..changes {
+        let names: Vec<String> = (0..CHURN_ROUTES).map(|number| format!("r-{change}-{number}")).collect();
+        let routes: Vec<String> =
+            names.iter().map(|name| route(name, "safe", &format!("/{name}/"), "stocklook", "2000ms")).collect();
+        let body = format!(
+            r#"{{"edition":"r{}","based_on":"r{edition}","deliver":{{"docks":[{{"depot":"pickup.example","regulations":[{}]}}]}},"withdraw":{{"routes":[{withdrawn}]}}}}"#,
+            edition + 1,
+            routes.join(",")
+        );
+        let answer = deployment.order(record, "POST", "/api/Config.Patch", &body, limit)?;
+        if answer.status != 200 {
+            return Err(format!("Config.Patch r{}: {answer:?}", edition + 1));
+        }
+        edition += 1;
+        record.note(format!("operator: Config.Patch r{edition} adds {CHURN_ROUTES} routes: 200"));
+        withdrawn = names.iter().map(|name| format!("\"{name}\"")).collect::<Vec<_>>().join(",");
+    }
+    let added = [
+        route("r-hold", "unsafe", "/hold/", "holdbook", "2000ms"),
+        route("r-look", "safe", "/look/", "holdbook", "2000ms"),
+    ];
+    let body = format!(
+        r#"{{"edition":"r{}","based_on":"r{edition}","deliver":{{"docks":[{{"depot":"pickup.example","regulations":[{}]}}]}},"withdraw":{{"routes":[{withdrawn}]}}}}"#,
+        edition + 1,
+        added.join(",")
+    );
+    let answer = deployment.order(record, "POST", "/api/Config.Patch", &body, limit)?;
+    record.note(format!("operator: Config.Patch r{} adds r-hold (unsafe) and r-look (safe): {}", edition + 1, answer.status));
+    if answer.status != 200 {
+        return Err(format!("the last Config.Patch: {answer:?}"));
+    }
+    // Longer than `edition_time`.
+    thread::sleep(Duration::from_millis(3000));
+    let mut clients = Vec::new();
+    for client in 0..4 {
+        let (front, record) = (gateway.front.clone(), record.clone());
+        clients.push(thread::spawn(move || {
+            let mut served = 0;
+            for number in 0..BOOKINGS / 4 {
+                let id = format!("b{client}-{number:04}");
+                let path = format!("/hold/{id}");
+                record.note(format!("client sends {id}: POST {path} (unsafe)"));
+                let answer = call(&front, "POST", &path, &client_headers(&id, 1200), b"basket", Duration::from_millis(1500));
+                let status = answer.map(|answer| answer.status);
+                record.note(format!("client gets {status:?} for {id}"));
+                served += usize::from(status == Some(200));
+                // Look-ups go to the same service.
+                let id = format!("l{client}-{number:04}");
+                let _ = call(&front, "GET", &format!("/look/{id}"), &client_headers(&id, 1200), b"", Duration::from_millis(1500));
+            }
+            served
+        }));
+    }
+    let served: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
+    if served < BOOKINGS / 2 {
+        return Err(format!("only {served} of {BOOKINGS} bookings were served"));
+    }
+    // Late runs, if any, are over.
+    thread::sleep(Duration::from_millis(1500));
+    let mut by_request: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for run in runs.0.lock().unwrap().iter().filter(|run| run.target.starts_with("/hold/")) {
+        by_request.entry(run.request.clone()).or_default().push(run.backend.clone());
+    }
+    let twice: Vec<_> = by_request.iter().filter(|(_, backends)| backends.len() > 1).collect();
+    for (id, backends) in &twice {
+        record.note(format!("TWICE: {id} ran at {}", backends.join(" and at ")));
+    }
+    record.note(format!("{served} of {BOOKINGS} bookings served, {} ran more than once", twice.len()));
+    println!("{served} of {BOOKINGS} bookings served, {} ran more than once", twice.len());
+    Ok(!twice.is_empty())
+}
+
+fn main() -> ExitCode {
+    let mut args = std::env::args().skip(1);
+    let (case, folder) = (args.next().unwrap_or_default(), args.next().unwrap_or_else(|| ".".to_owned()));
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::new();
+    let outcome = match case.as_str() {
+        "route-churn" => route_churn(&record, trouble),
+        other => Err(format!("unknown case {other:?}")),
+    };
+    if let Err(why) = &outcome {
+        record.note(format!("the case could not run: {why}"));
+        eprintln!("the case could not run: {why}");
+    }
+    record.write(&PathBuf::from(folder).join("record.txt"));
+    match outcome {
+        Ok(true) => ExitCode::from(1),
+        Ok(false) => ExitCode::SUCCESS,
+        Err(_) => ExitCode::from(2),
+    }
+}
