--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -105,16 +105,6 @@
     child: Child,
 }
 
-impl Process {
-    fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([name, &self.child.id().to_string()]).status();
-    }
-
-    fn has_exited(&mut self) -> bool {
-        self.child.try_wait().ok().flatten().is_some()
-    }
-}
-
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -299,15 +289,6 @@
     backend: String,
     request: String,
     target: String,
-    at: Instant,
-}
-
-struct Backend {
-    id: String,
-    service: String,
-    zone: String,
-    address: String,
-    stopped: Arc<AtomicBool>,
 }
 
 #[derive(Clone, Default)]
@@ -317,27 +298,15 @@
 fn start_backend(
     deployment: &Deployment, record: &Record, runs: &Runs, id: &str, service: &str, zone: &str,
     behavior: impl Fn(&str, &str) -> Behavior + Send + Sync + 'static,
-) -> Result<Backend> {
+) -> Result<()> {
     let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
     let address = listener.local_addr().map_err(|e| e.to_string())?.to_string();
-    let stopped = Arc::new(AtomicBool::new(false));
     let behavior = Arc::new(behavior);
-    let backend = Backend {
-        id: id.to_owned(),
-        service: service.to_owned(),
-        zone: zone.to_owned(),
-        address: address.clone(),
-        stopped: stopped.clone(),
-    };
     let (record_of, runs, name) = (record.clone(), runs.clone(), id.to_owned());
-    let accept_stopped = stopped.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            if accept_stopped.load(Ordering::SeqCst) {
-                return;
-            }
             let (record, runs, name, behavior) = (record_of.clone(), runs.clone(), name.clone(), behavior.clone());
-            thread::spawn(move || drop(serve(stream, &record, &runs, &name, &*behavior)));
+            thread::spawn(move || serve(stream, &record, &runs, &name, &*behavior));
         }
     });
     let (seeds, beat) = (deployment.seeds.clone(), (id.to_owned(), service.to_owned(), zone.to_owned(), address));
@@ -345,7 +314,7 @@
         let (id, service, zone, address) = beat;
         let mut postmark = 0;
         let mut turn = 0;
-        while !stopped.load(Ordering::SeqCst) {
+        loop {
             postmark += 1;
             let body = format!(
                 r#"{{"service":"{service}","address":"{address}","zone":"{zone}","edition":"v1","berths":6,"state":"open","cold_time":"0ms","postmark":{postmark}}}"#
@@ -362,7 +331,7 @@
             thread::sleep(Duration::from_millis(1500));
         }
     });
-    Ok(backend)
+    Ok(())
 }
 
 /// Serves one connection of a backend.
@@ -395,7 +364,6 @@
             backend: name.to_owned(),
             request: id.clone(),
             target: target.clone(),
-            at: Instant::now(),
         });
         let behavior = behavior(&id, &target);
         record.note(format!("backend {name} runs {id}: {method} {target}, {behavior:?}"));
@@ -582,6 +550,58 @@
     Ok(!twice.is_empty())
 }
 
+// ---- Case: a change that can't be read whole -------------------------------------------------------------
+
+/// The operator takes the key of a tenant away with a patch whose table `deliver` is damaged: it stands in a list.
+fn unread_patch(record: &Record, trouble: bool) -> Result<bool> {
+    let mut deployment = Deployment::new(3)?;
+    let _cores = (0..3).map(|number| deployment.core(number, true)).collect::<Result<Vec<_>>>()?;
+    let limit = Duration::from_secs(20);
+    let first = full_config(1, "0", &route("r-hold", "unsafe", "/hold/", "holdbook", "2000ms"), &["holdbook"]);
+    let answer = deployment.order(record, "POST", "/api/Config.Put", &first, limit)?;
+    record.note(format!("operator: Config.Put r1, tenant1 holds key1: {}", answer.status));
+    let gateway = deployment.gateway(0)?;
+    let runs = Runs::default();
+    start_backend(&deployment, record, &runs, "i-hold-0", "holdbook", "bangor-a", |_, _| {
+        Behavior::Answer(Duration::from_millis(5))
+    })?;
+    wait_for_backends(&deployment, 1)?;
+    deployment.wait_ready(&gateway)?;
+    let ask = |id: &str| {
+        record.note(format!("client sends {id} with key1"));
+        let path = format!("/hold/{id}");
+        let answer = call(&gateway.front, "POST", &path, &client_headers(id, 1200), b"basket", Duration::from_millis(1500));
+        let status = answer.map(|answer| answer.status);
+        record.note(format!("client gets {status:?} for {id}"));
+        status
+    };
+    if ask("before") != Some(200) {
+        return Err("the key does not work at first".to_owned());
+    }
+    let change = r#"{"patrons":[{"name":"tenant1","stamps":["key2"],"priority":1,"per_s":0,"burst":0,"home_regions":[]}]}"#;
+    let deliver = if trouble { format!("[{change}]") } else { change.to_owned() };
+    let body = format!(r#"{{"edition":"r2","based_on":"r1","deliver":{deliver}}}"#);
+    let answer = deployment.order(record, "POST", "/api/Config.Patch", &body, limit)?;
+    record.note(format!("operator: Config.Patch {body}: {} {}", answer.status, answer.body));
+    let acknowledged = answer.status == 200;
+    if !trouble && !acknowledged {
+        return Err(format!("the proper patch is refused: {answer:?}"));
+    }
+    // Longer than `edition_time` and `revoke`.
+    thread::sleep(Duration::from_millis(5500));
+    let after = ask("after");
+    let read = deployment.order(record, "GET", "/api/Config.Get", "", limit)?;
+    record.note(format!("operator: Config.Get: {} {}", read.status, read.body));
+    let in_force = read.body.contains(r#""edition":"r2""#);
+    println!("the patch got {}, r2 in force: {in_force}, then a request with key1 got {after:?}", answer.status);
+    if trouble {
+        Ok(acknowledged && in_force)
+    } else {
+        // The proper patch has taken the key away.
+        Ok(after != Some(401))
+    }
+}
+
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let (case, folder) = (args.next().unwrap_or_default(), args.next().unwrap_or_else(|| ".".to_owned()));
@@ -589,6 +609,7 @@
     let record = Record::new();
     let outcome = match case.as_str() {
         "route-churn" => route_churn(&record, trouble),
+        "unread-patch" => unread_patch(&record, trouble),
         other => Err(format!("unknown case {other:?}")),
     };
     if let Err(why) = &outcome {
