Review: a change of a route's kind repeats a booking

Change: case 4, patches change the kind of a route while requests that were sent on it run and lose their answers.

--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -113,8 +113,8 @@
 }
 
 struct Gateway {
-    _agent: Process,
-    _proxy: Process,
+    agent: Process,
+    proxy: Process,
     front: String,
     ready: String,
 }
@@ -239,7 +239,7 @@
         let settings = self.settings(&format!("counter-{number}"), "pelion", &ip, "counter", &docks, self.inner_port, true)?;
         let agent = self.start("target/release/oakfall-agent run", &settings)?;
         let proxy = self.start("target/release/oakfall-proxy run", &settings)?;
-        Ok(Gateway { _agent: agent, _proxy: proxy, front, ready })
+        Ok(Gateway { agent, proxy, front, ready })
     }
 
     /// Calls one core process after the other until one answers below 500, as the operator does.
@@ -283,12 +283,13 @@
     Answer(Duration),
     /// Run it for this long, and close the connection without an answer.
     LoseAnswer(Duration),
+    /// Answer with this many bytes: half of them at once, the rest after this time of work.
+    AnswerInHalves(usize, Duration),
 }
 
 struct Run {
     backend: String,
     request: String,
-    target: String,
 }
 
 #[derive(Clone, Default)]
@@ -363,7 +364,6 @@
         runs.0.lock().unwrap().push(Run {
             backend: name.to_owned(),
             request: id.clone(),
-            target: target.clone(),
         });
         let behavior = behavior(&id, &target);
         record.note(format!("backend {name} runs {id}: {method} {target}, {behavior:?}"));
@@ -373,6 +373,19 @@
                 let _ = reader.get_mut().shutdown(Shutdown::Both);
                 return None;
             }
+            Behavior::AnswerInHalves(bytes, work) => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nStamp: {name}.{id}\r\nContent-Length: {bytes}\r\n\r\n"
+                );
+                let half = vec![b'x'; bytes / 2];
+                reader.get_mut().write_all(head.as_bytes()).ok()?;
+                reader.get_mut().write_all(&half).ok()?;
+                record.note(format!("backend {name} has sent half of its answer to {id}"));
+                thread::sleep(work);
+                let sent = reader.get_mut().write_all(&vec![b'x'; bytes - bytes / 2]);
+                record.note(format!("backend {name} has sent the rest of its answer to {id}: {sent:?}"));
+                sent.ok()?;
+            }
             Behavior::Answer(work) => {
                 thread::sleep(work);
                 let text = format!("{name} {id}");
@@ -436,120 +449,9 @@
     format!("Host: pickup.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nAuthorization: Bearer key1\r\n")
 }
 
-// ---- Case: routes come and go ----------------------------------------------------------------------------
-
-/// Routes that each change adds and the next one removes; the largest `big_config` of the pages adds 410.
-const CHURN_ROUTES: usize = 410;
-/// Changes; the pages speak of hundreds in a day.
-const CHURN_CHANGES: usize = 41;
-const BOOKINGS: usize = 400;
+/// Half of the backends lose this share of their answers: `answer_lost` with share 0.5 and x 0.05.
 const LOST_PER_CENT: u64 = 5;
 
-/// Many versions add routes and remove them again. Then a version adds two routes, one for bookings (`unsafe`) and
-/// one for look-ups (`safe`), and some backends lose the answers of bookings that they ran.
-fn route_churn(record: &Record, trouble: bool) -> Result<bool> {
-    let mut deployment = Deployment::new(3)?;
-    let _cores = (0..3).map(|number| deployment.core(number, true)).collect::<Result<Vec<_>>>()?;
-    let limit = Duration::from_secs(20);
-    let first = full_config(1, "0", &route("r-first", "safe", "/first/", "stocklook", "2000ms"), &["stocklook", "holdbook"]);
-    let answer = deployment.order(record, "POST", "/api/Config.Put", &first, limit)?;
-    record.note(format!("operator: Config.Put r1: {}", answer.status));
-    let gateway = deployment.gateway(0)?;
-    let runs = Runs::default();
-    for number in 0..4 {
-        // Half of the backends lose some answers: `answer_lost` with share 0.5 and x 0.05.
-        let loses = number < 2;
-        let count = AtomicU64::new(0);
-        start_backend(&deployment, record, &runs, &format!("i-hold-{number}"), "holdbook", "bangor-a", move |_, target| {
-            let work = Duration::from_millis(5);
-            let turn = count.fetch_add(1, Ordering::SeqCst);
-            if loses && target.starts_with("/hold/") && turn % (100 / LOST_PER_CENT) == 7 {
-                Behavior::LoseAnswer(work)
-            } else {
-                Behavior::Answer(work)
-            }
-        })?;
-    }
-    start_backend(&deployment, record, &runs, "i-stock-0", "stocklook", "bangor-a", |_, _| {
-        Behavior::Answer(Duration::from_millis(5))
-    })?;
-    wait_for_backends(&deployment, 5)?;
-    deployment.wait_ready(&gateway)?;
-    let mut edition = 1;
-    let mut withdrawn = String::new();
-    let changes = if trouble { CHURN_CHANGES } else { 0 };
-    for change in 0..changes {
-        let names: Vec<String> = (0..CHURN_ROUTES).map(|number| format!("r-{change}-{number}")).collect();
-        let routes: Vec<String> =
-            names.iter().map(|name| route(name, "safe", &format!("/{name}/"), "stocklook", "2000ms")).collect();
-        let body = format!(
-            r#"{{"edition":"r{}","based_on":"r{edition}","deliver":{{"docks":[{{"depot":"pickup.example","regulations":[{}]}}]}},"withdraw":{{"routes":[{withdrawn}]}}}}"#,
-            edition + 1,
-            routes.join(",")
-        );
-        let answer = deployment.order(record, "POST", "/api/Config.Patch", &body, limit)?;
-        if answer.status != 200 {
-            return Err(format!("Config.Patch r{}: {answer:?}", edition + 1));
-        }
-        edition += 1;
-        record.note(format!("operator: Config.Patch r{edition} adds {CHURN_ROUTES} routes: 200"));
-        withdrawn = names.iter().map(|name| format!("\"{name}\"")).collect::<Vec<_>>().join(",");
-    }
-    let added = [
-        route("r-hold", "unsafe", "/hold/", "holdbook", "2000ms"),
-        route("r-look", "safe", "/look/", "holdbook", "2000ms"),
-    ];
-    let body = format!(
-        r#"{{"edition":"r{}","based_on":"r{edition}","deliver":{{"docks":[{{"depot":"pickup.example","regulations":[{}]}}]}},"withdraw":{{"routes":[{withdrawn}]}}}}"#,
-        edition + 1,
-        added.join(",")
-    );
-    let answer = deployment.order(record, "POST", "/api/Config.Patch", &body, limit)?;
-    record.note(format!("operator: Config.Patch r{} adds r-hold (unsafe) and r-look (safe): {}", edition + 1, answer.status));
-    if answer.status != 200 {
-        return Err(format!("the last Config.Patch: {answer:?}"));
-    }
-    // Longer than `edition_time`.
-    thread::sleep(Duration::from_millis(3000));
-    let mut clients = Vec::new();
-    for client in 0..4 {
-        let (front, record) = (gateway.front.clone(), record.clone());
-        clients.push(thread::spawn(move || {
-            let mut served = 0;
-            for number in 0..BOOKINGS / 4 {
-                let id = format!("b{client}-{number:04}");
-                let path = format!("/hold/{id}");
-                record.note(format!("client sends {id}: POST {path} (unsafe)"));
-                let answer = call(&front, "POST", &path, &client_headers(&id, 1200), b"basket", Duration::from_millis(1500));
-                let status = answer.map(|answer| answer.status);
-                record.note(format!("client gets {status:?} for {id}"));
-                served += usize::from(status == Some(200));
-                // Look-ups go to the same service.
-                let id = format!("l{client}-{number:04}");
-                let _ = call(&front, "GET", &format!("/look/{id}"), &client_headers(&id, 1200), b"", Duration::from_millis(1500));
-            }
-            served
-        }));
-    }
-    let served: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
-    if served < BOOKINGS / 2 {
-        return Err(format!("only {served} of {BOOKINGS} bookings were served"));
-    }
-    // Late runs, if any, are over.
-    thread::sleep(Duration::from_millis(1500));
-    let mut by_request: BTreeMap<String, Vec<String>> = BTreeMap::new();
-    for run in runs.0.lock().unwrap().iter().filter(|run| run.target.starts_with("/hold/")) {
-        by_request.entry(run.request.clone()).or_default().push(run.backend.clone());
-    }
-    let twice: Vec<_> = by_request.iter().filter(|(_, backends)| backends.len() > 1).collect();
-    for (id, backends) in &twice {
-        record.note(format!("TWICE: {id} ran at {}", backends.join(" and at ")));
-    }
-    record.note(format!("{served} of {BOOKINGS} bookings served, {} ran more than once", twice.len()));
-    println!("{served} of {BOOKINGS} bookings served, {} ran more than once", twice.len());
-    Ok(!twice.is_empty())
-}
-
 // ---- Case: a change that can't be read whole -------------------------------------------------------------
 
 /// The operator takes the key of a tenant away with a patch whose table `deliver` is damaged: it stands in a list.
@@ -602,13 +504,225 @@
     }
 }
 
+// ---- Case: a route changes its kind while its requests run -----------------------------------------------
+
+const KIND_ROUNDS: u64 = 4;
+const KIND_CLIENTS: usize = 60;
+const KIND_WORK: Duration = Duration::from_millis(400);
+
+/// A version makes an `unsafe` route `safe` while requests that were sent on the unsafe one still run. Half of the
+/// backends lose one in twenty answers, with and without the change.
+fn kind_change(record: &Record, trouble: bool) -> Result<bool> {
+    let mut deployment = Deployment::new(3)?;
+    let _cores = (0..3).map(|number| deployment.core(number, true)).collect::<Result<Vec<_>>>()?;
+    let limit = Duration::from_secs(20);
+    let hold = |kind: &str| route("r-hold", kind, "/hold/", "holdbook", "2000ms");
+    let first = full_config(1, "0", &hold("unsafe"), &["holdbook"]);
+    let answer = deployment.order(record, "POST", "/api/Config.Put", &first, limit)?;
+    record.note(format!("operator: Config.Put r1, r-hold is unsafe: {}", answer.status));
+    let gateway = deployment.gateway(0)?;
+    let runs = Runs::default();
+    for number in 0..12 {
+        let (loses, count) = (number % 2 == 0, AtomicU64::new(number));
+        start_backend(&deployment, record, &runs, &format!("i-hold-{number}"), "holdbook", "bangor-a", move |_, _| {
+            let turn = count.fetch_add(1, Ordering::SeqCst);
+            if loses && turn % (100 / LOST_PER_CENT) == 7 {
+                Behavior::LoseAnswer(KIND_WORK)
+            } else {
+                Behavior::Answer(KIND_WORK)
+            }
+        })?;
+    }
+    wait_for_backends(&deployment, 12)?;
+    deployment.wait_ready(&gateway)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let sent: Arc<Mutex<BTreeMap<String, Duration>>> = Arc::default();
+    let started = Instant::now();
+    let clients: Vec<_> = (0..KIND_CLIENTS)
+        .map(|client| {
+            let (front, record, stop, sent) = (gateway.front.clone(), record.clone(), stop.clone(), sent.clone());
+            thread::spawn(move || {
+                let (mut served, mut number) = (0, 0);
+                thread::sleep(Duration::from_millis(7 * client as u64));
+                while !stop.load(Ordering::SeqCst) {
+                    let id = format!("k{client:02}-{number:04}");
+                    number += 1;
+                    sent.lock().unwrap().insert(id.clone(), started.elapsed());
+                    record.note(format!("client sends {id}: POST /hold/{id}"));
+                    let headers = client_headers(&id, 2000);
+                    let path = format!("/hold/{id}");
+                    let answer = call(&front, "POST", &path, &headers, b"basket", Duration::from_millis(2300));
+                    let status = answer.map(|answer| answer.status);
+                    record.note(format!("client gets {status:?} for {id}"));
+                    served += usize::from(status == Some(200));
+                    if status != Some(200) {
+                        thread::sleep(Duration::from_millis(100));
+                    }
+                }
+                served
+            })
+        })
+        .collect();
+    // Times in which every configuration that may be in force says `unsafe`: from `edition_time` after the
+    // acknowledgement of one that says so until the next one is sent.
+    let mut unsafe_times = Vec::new();
+    let mut edition = 1;
+    let edition_time = Duration::from_millis(2500);
+    let mut unsafe_from = started.elapsed();
+    for _ in 0..KIND_ROUNDS {
+        thread::sleep(Duration::from_millis(1500));
+        unsafe_times.push((unsafe_from, started.elapsed()));
+        for kind in ["safe", "unsafe"] {
+            if trouble {
+                let body = format!(
+                    r#"{{"edition":"r{}","based_on":"r{edition}","deliver":{{"docks":[{{"depot":"pickup.example","regulations":[{}]}}]}}}}"#,
+                    edition + 1,
+                    hold(kind)
+                );
+                let answer = deployment.order(record, "POST", "/api/Config.Patch", &body, limit)?;
+                if answer.status != 200 {
+                    return Err(format!("Config.Patch r{}: {answer:?}", edition + 1));
+                }
+                edition += 1;
+                record.note(format!("operator: Config.Patch r{edition}, r-hold is {kind}: 200"));
+            }
+            if kind == "safe" {
+                thread::sleep(Duration::from_millis(1000));
+            }
+        }
+        thread::sleep(edition_time);
+        unsafe_from = started.elapsed();
+    }
+    stop.store(true, Ordering::SeqCst);
+    let served: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
+    thread::sleep(Duration::from_millis(1000));
+    let sent = sent.lock().unwrap();
+    let mut by_request: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for run in runs.0.lock().unwrap().iter() {
+        by_request.entry(run.request.clone()).or_default().push(run.backend.clone());
+    }
+    let on_unsafe = |id: &String| {
+        sent.get(id).is_some_and(|at| unsafe_times.iter().any(|(from, to)| at >= from && at < to))
+    };
+    let judged = sent.keys().filter(|id| on_unsafe(id)).count();
+    let twice: Vec<_> =
+        by_request.iter().filter(|(id, backends)| backends.len() > 1 && on_unsafe(id)).collect();
+    for (id, backends) in &twice {
+        record.note(format!("TWICE: {id}, sent while r-hold was unsafe, ran at {}", backends.join(" and at ")));
+    }
+    let text = format!("{served} of {} served; of {judged} sent while r-hold was unsafe, {} ran more than once", sent.len(), twice.len());
+    record.note(text.clone());
+    println!("{text}");
+    if served < sent.len() / 2 {
+        return Err("less than half of the requests were served".to_owned());
+    }
+    Ok(!twice.is_empty())
+}
+
+// ---- Case: a backend is silent within its answer, and the gateway is stopped -----------------------------
+
+const BUNDLE_BYTES: usize = 540_000;
+/// The work between the halves of an answer, and the same at a backend that is four times as slow.
+const WORK: Duration = Duration::from_millis(1400);
+const SLOW_WORK: Duration = Duration::from_millis(5600);
+/// The second group of requests is sent, and the gateway is stopped, so long after the first group was sent.
+const SECOND_AFTER: Duration = Duration::from_millis(2800);
+const STOP_AFTER: Duration = Duration::from_millis(3500);
+const GRACE: Duration = Duration::from_secs(6);
+
+/// How the answer to one request ended.
+struct Ended {
+    id: String,
+    received: usize,
+    at: Instant,
+}
+
+/// Sends one request for a bundle and reads its answer to the end.
+fn fetch_bundle(front: &str, record: &Record, id: String) -> Option<Ended> {
+    let mut stream = TcpStream::connect(front).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(25))).ok()?;
+    let request = format!("GET /bundle/{id} HTTP/1.1\r\n{}\r\n", client_headers(&id, 20_000));
+    stream.write_all(request.as_bytes()).ok()?;
+    record.note(format!("client sends {id}: GET /bundle/{id}, Deadline-Ms 20000"));
+    let mut reader = BufReader::new(stream);
+    let (head, _) = read_head(&mut reader)?;
+    let mut received = 0;
+    let mut buffer = vec![0; 65_536];
+    while received < BUNDLE_BYTES {
+        match reader.read(&mut buffer) {
+            Ok(count) if count > 0 => received += count,
+            _ => break,
+        }
+    }
+    record.note(format!("client gets {head} for {id}, {received} of {BUNDLE_BYTES} bytes"));
+    Some(Ended { id, received, at: Instant::now() })
+}
+
+fn silent_backend(record: &Record, trouble: bool) -> Result<bool> {
+    let mut deployment = Deployment::new(3)?;
+    let _cores = (0..3).map(|number| deployment.core(number, true)).collect::<Result<Vec<_>>>()?;
+    let limit = Duration::from_secs(20);
+    let first = full_config(1, "0", &route("r-bundle", "download", "/bundle/", "bundled", "30s"), &["bundled"]);
+    let answer = deployment.order(record, "POST", "/api/Config.Put", &first, limit)?;
+    record.note(format!("operator: Config.Put r1: {}", answer.status));
+    let gateway = deployment.gateway(0)?;
+    let runs = Runs::default();
+    let work = if trouble { SLOW_WORK } else { WORK };
+    for number in 0..4 {
+        start_backend(&deployment, record, &runs, &format!("i-bundle-{number}"), "bundled", "bangor-a", move |_, _| {
+            Behavior::AnswerInHalves(BUNDLE_BYTES, work)
+        })?;
+    }
+    wait_for_backends(&deployment, 4)?;
+    deployment.wait_ready(&gateway)?;
+    // No trouble from `touch` (5 s) before the requests.
+    thread::sleep(Duration::from_millis(5500));
+    let group = |name: &'static str| -> Vec<_> {
+        let fetch = |number: usize| {
+            let (front, record) = (gateway.front.clone(), record.clone());
+            thread::spawn(move || fetch_bundle(&front, &record, format!("{name}{number}")))
+        };
+        (0..4).map(fetch).collect()
+    };
+    let first_sent = Instant::now();
+    let mut clients = group("first-");
+    thread::sleep(SECOND_AFTER);
+    clients.extend(group("second-"));
+    thread::sleep(STOP_AFTER.saturating_sub(first_sent.elapsed()));
+    let stopped_at = Instant::now();
+    for process in [&gateway.proxy, &gateway.agent] {
+        let id = process.child.id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+    }
+    record.note("platform: SIGTERM to the gateway's proxy and agent");
+    let ends: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok().flatten()).collect();
+    if ends.len() < 8 {
+        return Err("a client got no answer at all".to_owned());
+    }
+    // Counted: cut off around the planned work, at a backend that is not at work in the second half of `grace`.
+    let work_ends = |id: &str| if id.starts_with("first") { first_sent + work } else { first_sent + SECOND_AFTER + work };
+    let counted = |end: &&Ended| {
+        end.received < BUNDLE_BYTES
+            && end.at >= stopped_at
+            && end.at < stopped_at + GRACE + Duration::from_secs(1)
+            && work_ends(&end.id) < stopped_at + GRACE / 2
+    };
+    let lost = ends.iter().filter(counted).count();
+    let cut = ends.iter().filter(|end| end.received < BUNDLE_BYTES).count();
+    let text = format!("{cut} of {} answers were cut off, {lost} of them count", ends.len());
+    record.note(text.clone());
+    println!("{text}");
+    Ok(lost > 0)
+}
+
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let (case, folder) = (args.next().unwrap_or_default(), args.next().unwrap_or_else(|| ".".to_owned()));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::new();
     let outcome = match case.as_str() {
-        "route-churn" => route_churn(&record, trouble),
+        "kind-change" => kind_change(&record, trouble),
+        "silent-backend" => silent_backend(&record, trouble),
         "unread-patch" => unread_patch(&record, trouble),
         other => Err(format!("unknown case {other:?}")),
     };
