--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)" || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-2/standin-2 ] || { echo "run review/build-2.sh first"; exit 2; }
-exec timeout --kill-after=5 110 target/review-2/standin-2 unread-patch "$folder"
+exec timeout --kill-after=5 110 target/review-2/standin-2 service-churn "$folder"
--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -715,6 +715,107 @@
     Ok(lost > 0)
 }
 
+// ---- Case: services come and go --------------------------------------------------------------------------
+
+/// Services that each change adds and the next one removes, and the number of changes.
+const CHURN_SERVICES: usize = 40;
+const CHURN_CHANGES: usize = 415;
+const LOOK_UPS: usize = 200;
+
+/// Many versions add services and remove them again. Then a version adds two services with a route each.
+fn service_churn(record: &Record, trouble: bool) -> Result<bool> {
+    let mut deployment = Deployment::new(3)?;
+    let _cores = (0..3).map(|number| deployment.core(number, true)).collect::<Result<Vec<_>>>()?;
+    let limit = Duration::from_secs(20);
+    let first = full_config(1, "0", &route("r-first", "safe", "/first/", "first", "2000ms"), &["first"]);
+    let answer = deployment.order(record, "POST", "/api/Config.Put", &first, limit)?;
+    record.note(format!("operator: Config.Put r1: {}", answer.status));
+    let gateway = deployment.gateway(0)?;
+    let runs = Runs::default();
+    start_backend(&deployment, record, &runs, "i-first", "first", "bangor-a", |_, _| {
+        Behavior::Answer(Duration::from_millis(5))
+    })?;
+    wait_for_backends(&deployment, 1)?;
+    deployment.wait_ready(&gateway)?;
+    let (mut edition, mut withdrawn) = (1, String::new());
+    let mut patch = |deliver: &str, withdraw: &str| -> Result<()> {
+        let body = format!(
+            r#"{{"edition":"r{}","based_on":"r{edition}","deliver":{{{deliver}}},"withdraw":{{"fleets":[{withdraw}]}}}}"#,
+            edition + 1
+        );
+        let answer = deployment.order(record, "POST", "/api/Config.Patch", &body, limit)?;
+        if answer.status != 200 {
+            return Err(format!("Config.Patch r{}: {answer:?}", edition + 1));
+        }
+        edition += 1;
+        record.note(format!("operator: Config.Patch r{edition}: 200"));
+        Ok(())
+    };
+    for change in 0..if trouble { CHURN_CHANGES } else { 0 } {
+        let names: Vec<String> = (0..CHURN_SERVICES).map(|number| format!("s{change}-{number}")).collect();
+        let services: Vec<String> = names.iter().map(|name| service(name)).collect();
+        patch(&format!(r#""fleets":[{}]"#, services.join(",")), &withdrawn)?;
+        withdrawn = names.iter().map(|name| format!("\"{name}\"")).collect::<Vec<_>>().join(",");
+    }
+    let routes = [
+        route("r-stock", "safe", "/stock/", "stocklook", "2000ms"),
+        route("r-history", "safe", "/history/", "rxhistory", "2000ms"),
+    ];
+    let deliver = format!(
+        r#""fleets":[{},{}],"docks":[{{"depot":"pickup.example","regulations":[{}]}}]"#,
+        service("stocklook"),
+        service("rxhistory"),
+        routes.join(",")
+    );
+    patch(&deliver, &withdrawn)?;
+    for number in 0..2 {
+        for name in ["stocklook", "rxhistory"] {
+            start_backend(&deployment, record, &runs, &format!("i-{name}-{number}"), name, "bangor-a", |_, _| {
+                Behavior::Answer(Duration::from_millis(5))
+            })?;
+        }
+    }
+    wait_for_backends(&deployment, 5)?;
+    // Longer than `edition_time`.
+    thread::sleep(Duration::from_millis(3000));
+    let clients: Vec<_> = (0..4)
+        .map(|client| {
+            let (front, record) = (gateway.front.clone(), record.clone());
+            thread::spawn(move || {
+                let mut served = 0;
+                for number in 0..LOOK_UPS / 4 {
+                    for path in ["stock", "history"] {
+                        let id = format!("{path}-{client}-{number}");
+                        record.note(format!("client sends {id}: GET /{path}/{id}"));
+                        let headers = client_headers(&id, 1200);
+                        let answer = call(&front, "GET", &format!("/{path}/{id}"), &headers, b"", Duration::from_millis(1500));
+                        let status = answer.map(|answer| answer.status);
+                        record.note(format!("client gets {status:?} for {id}"));
+                        served += usize::from(status == Some(200));
+                    }
+                }
+                served
+            })
+        })
+        .collect();
+    let served: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
+    let mut foreign = 0;
+    for run in runs.0.lock().unwrap().iter() {
+        let allowed = if run.request.starts_with("stock") { "i-stocklook" } else { "i-rxhistory" };
+        if !run.backend.starts_with(allowed) {
+            foreign += 1;
+            record.note(format!("ROUTE: {} ran at {}", run.request, run.backend));
+        }
+    }
+    let text = format!("{served} of {} requests served, {foreign} ran at a backend of the other service", 2 * LOOK_UPS);
+    record.note(text.clone());
+    println!("{text}");
+    if served < LOOK_UPS {
+        return Err("less than half of the requests were served".to_owned());
+    }
+    Ok(foreign > 0)
+}
+
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let (case, folder) = (args.next().unwrap_or_default(), args.next().unwrap_or_else(|| ".".to_owned()));
@@ -723,6 +824,7 @@
     let outcome = match case.as_str() {
         "kind-change" => kind_change(&record, trouble),
         "silent-backend" => silent_backend(&record, trouble),
+        "service-churn" => service_churn(&record, trouble),
         "unread-patch" => unread_patch(&record, trouble),
         other => Err(format!("unknown case {other:?}")),
     };
