A request keeps the class that it arrived with

Cause: the decision module kept the index of a request's class and looked the class up in the settings of the moment at each decision. The proxy gives a route name one index for its life and overwrites the class at it when a configuration changes the kind.

Evidence: in a scratch copy of the code before, a probe wrote down for each attempt that may have run the idempotency at the request's arrival and the one it was judged by.

Change: an open request holds its class by value, as of its arrival, and every decision on it uses that. The index only says which average latency the request belongs to. A class that is taken out of the settings while a request of it is in flight no longer panics either.

Why it works: no later settings can reach the copy. The same holds for the deadline, the target and the late worth of the class.

--- a/src/choice/admission.rs
+++ b/src/choice/admission.rs
@@ -24,10 +24,10 @@
         }
         let (units, customer_id) = (request.units, request.customer);
         self.mean_units += (units - self.mean_units) * MEAN_GAIN;
-        let target_ms = self.settings.classes[class].target_ms.min(request.budget_ms);
+        let class_settings = self.settings.classes[class];
+        let target_ms = class_settings.target_ms.min(request.budget_ms);
         self.refresh_customer(now, customer_id, plan_index, request.customer_gateways);
-        let (deadline, target_deadline) = (now + request.budget_ms, now + target_ms);
-        self.requests.insert(id, OpenRequest::new(request, deadline, target_deadline));
+        self.requests.insert(id, OpenRequest::new(request, class_settings, now));
         // A customer known to be over its quota is refused without a call: peers can only have used more.
         let customer = &self.customers[&customer_id];
         let plan = &self.settings.plans[plan_index].clone();
@@ -95,7 +95,7 @@
         let overloaded_at = load.overloaded_at;
         let Some(open) = self.requests.get_mut(&id) else { return };
         let plan = &self.settings.plans[open.plan()];
-        let target_ms = self.settings.classes[open.class()].target_ms;
+        let target_ms = open.class.target_ms;
         let spare = expected < OVER_QUOTA_SHARE * target_ms && now - overloaded_at > OVERLOAD_MEMORY_MS;
         if plan.excess_worth > plan.excess_cost && spare {
             open.within_quota = false;
@@ -112,8 +112,8 @@
     pub(super) fn expected_latency(&mut self, now: Millis, id: RequestId) -> f64 {
         let Some(open) = self.requests.get(&id) else { return f64::INFINITY };
         let pool = open.request.pool;
-        let class_ms = self.classes[open.class()].mean_ms;
-        let target_ms = self.settings.classes[open.class()].target_ms;
+        let class_ms = self.classes[open.class_index()].mean_ms;
+        let target_ms = open.class.target_ms;
         self.update_load(now, pool, 0.0, 0.0);
         if self.ready_backends(pool).next().is_none() {
             return f64::INFINITY;
--- a/src/choice/attempts.rs
+++ b/src/choice/attempts.rs
@@ -17,7 +17,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let request = &open.request;
         let first = open.attempts.is_empty();
-        let class = &self.settings.classes[request.class as usize];
+        let class = open.class;
         let plan = &self.settings.plans[request.plan as usize];
         let left_ms = open.deadline - now;
         let mut allowed = picked.is_some() && left_ms > 0.0;
@@ -79,7 +79,7 @@
     pub(super) fn handle_body_sent(&mut self, now: Millis, id: RequestId, attempt: u8) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (budget_ms, pool) = (open.request.budget_ms, open.request.pool);
-        let target_ms = self.settings.classes[open.class()].target_ms;
+        let target_ms = open.class.target_ms;
         let Some(attempt) = open.attempts.get_mut(attempt as usize) else { return };
         if !attempt.in_flight || attempt.processing || open.streaming {
             return;
@@ -97,21 +97,21 @@
     pub(super) fn handle_response_start(&mut self, now: Millis, id: RequestId, number: u8) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         open.streaming = true;
-        let (class, plan, pool) = (open.class(), open.plan(), open.request.pool);
+        let (class, index, plan, pool) = (open.class, open.class_index(), open.plan(), open.request.pool);
         let Some(attempt) = open.attempts.get_mut(number as usize) else { return };
         if !attempt.in_flight || !std::mem::take(&mut attempt.processing) {
             return;
         }
         let (backend, took_ms, queue_depth) = (attempt.backend, now - attempt.sent_at, attempt.queue_depth);
-        self.end_processing(now, class, pool, took_ms, CallResult::Ok);
-        self.record_result(now, backend, class, plan, CallResult::Ok, took_ms, queue_depth);
+        self.end_processing(now, class.target_ms, pool, took_ms, CallResult::Ok);
+        self.record_result(now, backend, index, plan, CallResult::Ok, took_ms, queue_depth);
     }
 
     /// Updates the pool's averages after a backend has stopped processing a request.
-    fn end_processing(&mut self, now: Millis, class: usize, pool: u32, took_ms: f64, result: CallResult) {
+    fn end_processing(&mut self, now: Millis, target_ms: f64, pool: u32, took_ms: f64, result: CallResult) {
         self.update_load(now, pool, -1.0, f64::from(u8::from(result == CallResult::Ok)));
         if matches!(result, CallResult::Ok | CallResult::Timeout) {
-            let share = took_ms / self.settings.classes[class].target_ms.max(1.0);
+            let share = took_ms / target_ms.max(1.0);
             let load = self.pool_load(pool);
             load.target_share += (share.min(1.0) - load.target_share) * TARGET_SHARE_GAIN;
         }
@@ -126,7 +126,7 @@
         }
         let (sent_at, queue_depth, backend) = (attempt.sent_at, attempt.queue_depth, attempt.backend);
         let processing = std::mem::take(&mut attempt.processing);
-        let (class, plan, pool) = (open.class(), open.plan(), open.request.pool);
+        let (class, index, plan, pool) = (open.class, open.class_index(), open.plan(), open.request.pool);
         if let Some(customer) = self.customers.get_mut(&open.request.customer) {
             customer.attempts_in_flight = customer.attempts_in_flight.saturating_sub(1);
             // Settles the difference of the actual units with the customer's next charge.
@@ -142,8 +142,8 @@
             open.executed = Some((sent_at, backend));
         }
         if processing {
-            self.end_processing(now, class, pool, now - sent_at, result);
-            self.record_result(now, backend, class, plan, result, took_ms, queue_depth);
+            self.end_processing(now, class.target_ms, pool, now - sent_at, result);
+            self.record_result(now, backend, index, plan, result, took_ms, queue_depth);
         } else {
             self.update_health(now, backend, plan, result, took_ms);
         }
@@ -154,15 +154,13 @@
         if open.attempts.iter().any(|attempt| attempt.in_flight) {
             return;
         }
-        let idempotency = self.settings.classes[class].idempotency;
-        let worthwhile = self.settings.classes[class].late_worth > 0.0
-            || now + self.classes[class].mean_ms < open.target_deadline;
+        let worthwhile = class.late_worth > 0.0 || now + self.classes[index].mean_ms < open.target_deadline;
         // A configured retry budget is charged for retries of rejected attempts too.
         let free = match self.settings.rules.retry_budget {
             Some(_) => matches!(result, CallResult::ConnectFailed | CallResult::NotSent),
             None => result.never_ran(),
         };
-        let allowed = result.never_ran() || idempotency != Idempotency::NonIdempotent;
+        let allowed = result.never_ran() || class.idempotency != Idempotency::NonIdempotent;
         let retry = worthwhile && allowed && (free || self.pool_load(pool).retry_tokens >= 1.0);
         let open = &self.requests[&id];
         if retry && result != CallResult::NotSent && open.deadline > now && !open.streaming {
@@ -171,13 +169,13 @@
             }
             return self.send(now, id, actions);
         }
-        self.finish(id, self.settings.classes[class].target_ms / 2.0, Reason::AttemptsExhausted, actions);
+        self.finish(id, class.target_ms / 2.0, Reason::AttemptsExhausted, actions);
     }
 
     /// Answers the request: refused if the client may safely retry, failed if an attempt may have executed.
     pub(super) fn finish(&mut self, id: RequestId, wait_ms: f64, reason: Reason, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id) else { return };
-        let repeatable = match self.settings.classes[open.class()].idempotency {
+        let repeatable = match open.class.idempotency {
             Idempotency::Idempotent | Idempotency::Keyed { scope: DedupScope::All, .. } => true,
             _ => open.executed.is_none() && !open.attempts.iter().any(|attempt| attempt.in_flight),
         };
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -106,7 +106,7 @@
             let mean_ms = if count > 0.0 { sum / count } else { class.target_ms * INITIAL_LATENCY_SHARE };
             let initial = ClassLatency { mean_ms, samples: 0.0 };
             match self.classes.get_mut(index) {
-                Some(latency) if former.classes[index] != *class => *latency = initial,
+                Some(latency) if former.classes.get(index) != Some(class) => *latency = initial,
                 Some(_) => {}
                 None => self.classes.push(initial),
             }
--- a/src/choice/pick.rs
+++ b/src/choice/pick.rs
@@ -36,8 +36,8 @@
         let open = self.requests.get(&id)?;
         let rules = &self.settings.rules;
         let (pool, zones) = (open.request.pool, open.request.zone_mask);
-        let class_ms = self.classes[open.class()].mean_ms;
-        let idempotency = self.settings.classes[open.class()].idempotency;
+        let class_ms = self.classes[open.class_index()].mean_ms;
+        let idempotency = open.class.idempotency;
         // Where a keyed request may be repeated: its scope, around the backend that may have executed it.
         let repeat_at = match (open.executed, idempotency) {
             (Some((_, backend)), Idempotency::Keyed { scope, .. }) => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! The state that a gateway keeps per customer, request, pool and backend. No decision is made here.
 
-use crate::interface::{BackendEntry, BackendId, CustomerId, Millis, Request, RequestId};
+use crate::interface::{BackendEntry, BackendId, Class, CustomerId, Millis, Request, RequestId};
 use std::collections::VecDeque;
 
 /// One customer as this gateway sees it.
@@ -64,6 +64,8 @@
 /// A request that has not been closed, or still has attempts in flight.
 pub(crate) struct OpenRequest {
     pub(crate) request: Request,
+    /// Its class as of its arrival. Later settings may give the class's index another meaning.
+    pub(crate) class: Class,
     pub(crate) deadline: Millis,
     /// A response after this misses the latency target.
     pub(crate) target_deadline: Millis,
@@ -81,11 +83,12 @@
 }
 
 impl OpenRequest {
-    pub(crate) fn new(request: Request, deadline: Millis, target_deadline: Millis) -> Self {
+    pub(crate) fn new(request: Request, class: Class, now: Millis) -> Self {
         OpenRequest {
+            deadline: now + request.budget_ms,
+            target_deadline: now + class.target_ms.min(request.budget_ms),
             request,
-            deadline,
-            target_deadline,
+            class,
             waiting: false,
             asked_peer: false,
             within_quota: true,
@@ -96,8 +99,8 @@
         }
     }
 
-    /// Index of its class in the settings.
-    pub(crate) fn class(&self) -> usize {
+    /// Index of its class's latency.
+    pub(crate) fn class_index(&self) -> usize {
         self.request.class as usize
     }
 
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -55,6 +55,34 @@
     }
 }
 
+/// Guards against an unsafe request that runs twice because its class became idempotent while it was in flight.
+#[test]
+fn requests_in_flight_keep_the_class_of_their_arrival() {
+    for (class, retried) in [(2, false), (0, true)] {
+        let mut rig = Rig::new(settings_without_quota());
+        let backend = sent(&rig.request(1, class, 1.0)).unwrap();
+        let mut changed = settings_without_quota();
+        changed.classes.swap(0, 2);
+        rig.event(Event::Settings(changed));
+        let actions = rig.outcome(1, 0, backend, CallResult::Reset, None);
+        assert_eq!(sent(&actions).is_some(), retried, "class {class}");
+        assert_eq!(failed(&actions), !retried, "class {class}");
+    }
+}
+
+/// Guards against a panic when classes are removed and come back while a request of theirs is in flight.
+#[test]
+fn requests_in_flight_outlive_their_class() {
+    let mut rig = Rig::new(settings_without_quota());
+    let backend = sent(&rig.request(1, 2, 1.0)).unwrap();
+    let mut fewer = settings_without_quota();
+    fewer.classes.truncate(1);
+    rig.event(Event::Settings(fewer));
+    assert!(failed(&rig.outcome(1, 0, backend, CallResult::Reset, None)));
+    rig.event(Event::Settings(settings_without_quota()));
+    assert!(sent(&rig.request(2, 2, 1.0)).is_some());
+}
+
 #[test]
 fn keyed_requests_are_retried_only_in_their_group_and_window() {
     for (after_ms, retried) in [(10.0, true), (1600.0, false)] {
