The number of a class belongs to one route while anything refers to it

A route's name had one index for the life of the process; the class at that index was overwritten while a request that had been matched to the route waited for its body or its charge, and names beyond the 16,384th shared an index.

Change: a route has a class for each set of its settings. A class's number is free again when no route table and no request refers to it; the driver keeps what the request's numbers belong to until its last attempt has ended, at the gateway in service, too. A class names its owner, so that the latency of a former one is not taken over. Counts of roll-outs go by the digest of the route's name, as numbers can pass to other routes.

Why it works: a number changes its meaning only when nothing is left that could mean the former one, which the reference counts show; there is no bound at which two things meet.

--- a/lab/src/scale/simulated_gateway.rs
+++ b/lab/src/scale/simulated_gateway.rs
@@ -4,13 +4,14 @@
 //! as the real one, and sends its agent the same messages for the same history, but it serves no requests and connects
 //! to no backends.
 
-use oakfall::{Class, Millis};
+use oakfall::Millis;
 use oakfall_system::agent_state::{Action, AgentStateMachine, Event};
 use oakfall_system::protocol::{
     ChangeKind, FromAgent, FromProxy, IndexedChange, StateSnapshot, ToAgent, ToProxy,
 };
 use oakfall_system::quota::QuotaClient;
 use oakfall_system::raft::MAX_ENTRY_VERSION;
+use oakfall_system::routes::numbers::ClassNumbers;
 use oakfall_system::routes::{NameIds, RouteTable, Zones};
 use oakfall_system::settings::Settings;
 use oakfall_system::state::{DigestCache, State, Touched};
@@ -142,7 +143,7 @@
     digest: DigestCache,
     differs: bool,
     table: Option<RouteTable>,
-    routes: NameIds,
+    classes: ClassNumbers,
     pools: NameIds,
     quota_client: QuotaClient,
     /// Time of the last contact with the leader.
@@ -162,7 +163,7 @@
             digest: DigestCache::default(),
             differs: false,
             table: None,
-            routes: NameIds::default(),
+            classes: ClassNumbers::default(),
             pools: NameIds::default(),
             quota_client: QuotaClient::new(settings.bounds.quota_slack),
             last_leader_contact: None,
@@ -256,11 +257,7 @@
     /// Builds the route table from the copy of the state.
     fn configure(&mut self, now: Millis) -> Option<u64> {
         let config = self.state.as_ref()?.config.as_ref()?;
-        let previous_classes: Vec<Class> =
-            self.table.as_ref().map(|table| table.classes.clone()).unwrap_or_default();
-        let table =
-            RouteTable::new(&config.text, &self.zones, &mut self.routes, &mut self.pools, &previous_classes)
-                .ok()?;
+        let table = RouteTable::new(&config.text, &self.zones, &mut self.classes, &mut self.pools).ok()?;
         self.quota_client.set_limits(now, &table.limits);
         self.table = Some(table);
         Some(config.edition)
--- a/src/bin/gateway/config/mod.rs
+++ b/src/bin/gateway/config/mod.rs
@@ -374,6 +374,8 @@
         form::Group::Cell => DedupScope::Cell,
     };
     Class {
+        // The name that an index belongs to is kept by the tables of the program.
+        owner: 0,
         target_ms: c.aim.0,
         deadline_ms: c.deadline.0,
         worth: c.worth,
--- a/src/bin/gateway/server.rs
+++ b/src/bin/gateway/server.rs
@@ -685,6 +685,8 @@
             customer,
             plan: plan as u32,
             class: class.number,
+            label: 0,
+            holder: class.clone(),
             units,
             customer_gateways: spread,
             is_retry: text("x-resent") == Some("1"),
--- a/src/bin/simulator/setup.rs
+++ b/src/bin/simulator/setup.rs
@@ -128,6 +128,7 @@
         _ => Idempotency::NonIdempotent,
     };
     Ok(Class {
+        owner: 0,
         target_ms: values.number(&path("aim-ms"))?,
         deadline_ms: values.number(&path("give-up-ms"))?,
         worth: values.number(&path("value"))?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -47,6 +47,8 @@
 /// A class of requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Class {
+    /// Identifies what the class stands for. A class starts anew when another owner gets its index.
+    pub owner: u64,
     /// Latency target, in ms: a response within it earns the full worth.
     pub target_ms: f64,
     /// The client's total wait, including its retries, in ms.
@@ -367,8 +369,8 @@
     },
     /// Polling the backend list failed; the last list stays in use.
     ListFailed,
-    /// The settings changed. Indexes of classes and plans keep their meaning while an open request refers to
-    /// them, and may be reassigned afterwards.
+    /// The settings changed. An open request keeps the class that it arrived with. Indexes of plans keep their
+    /// meaning while an open request refers to them, and may be reassigned afterwards.
     Settings(Settings),
     /// A request arrived.
     Request(Request),
--- a/src/plane/driver.rs
+++ b/src/plane/driver.rs
@@ -10,6 +10,7 @@
     Action, BackendEntry, BackendId, BackendState, CallResult, Event, Gateway, Load, Outcome, Reason,
     Request, RequestId, Settings,
 };
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{HashMap, VecDeque};
@@ -109,8 +110,8 @@
 pub struct EndedAttempt<'a> {
     /// The backend's name.
     pub backend: &'a str,
-    /// The class of the request.
-    pub class: u32,
+    /// The label of the request.
+    pub label: u64,
     /// How it ended.
     pub result: CallResult,
     /// Time since it was sent, in ms.
@@ -119,8 +120,8 @@
 
 /// Receives notifications for metrics and logs.
 pub trait Observer {
-    /// An attempt of a request of this class is sent to the backend of this name.
-    fn attempt_sent(&self, _backend: &str, _class: u32) {}
+    /// An attempt of a request with this label is sent to the backend of this name.
+    fn attempt_sent(&self, _backend: &str, _label: u64) {}
     /// An attempt ended.
     fn attempt_ended(&self, attempt: &EndedAttempt);
     /// A call to the quota counter ended.
@@ -192,6 +193,11 @@
     pub plan: u32,
     /// Its class, as an index into the settings.
     pub class: u32,
+    /// Passed to the observer with its attempts.
+    pub label: u64,
+    /// Kept until the request and all its attempts have ended. While it exists, its class and its pool must keep
+    /// their numbers.
+    pub holder: Rc<dyn Any>,
     /// Quota units it takes.
     pub units: f64,
     /// Number of gateways that serve this customer.
@@ -217,7 +223,7 @@
 struct RequestAttempt {
     driver: Rc<Driver>,
     id: RequestId,
-    class: u32,
+    label: u64,
     number: usize,
     request: Rc<BackendRequest>,
     backend_name: Rc<str>,
@@ -325,7 +331,8 @@
     response: Option<oneshot::Sender<(FinalResponse, AttemptSummary)>>,
     summary: AttemptSummary,
     request: Rc<BackendRequest>,
-    class: u32,
+    label: u64,
+    _holder: Rc<dyn Any>,
     /// None while its body is being streamed.
     deadline: Option<Instant>,
     budget: Duration,
@@ -461,7 +468,8 @@
             response: Some(sender),
             summary: AttemptSummary::default(),
             request: Rc::new(request),
-            class: info.class,
+            label: info.label,
+            _holder: info.holder.clone(),
             deadline: Some(info.deadline.at()).filter(|_| !body_streams),
             budget,
             client_deadline: info.client_deadline,
@@ -812,14 +820,14 @@
         let attempt = RequestAttempt {
             driver: self.clone(),
             id,
-            class: open.class,
+            label: open.label,
             number,
             request: open.request.clone(),
             backend_name: listed.name.clone(),
             timeout,
             started: Cell::new(now),
         };
-        self.observer.attempt_sent(&attempt.backend_name, attempt.class);
+        self.observer.attempt_sent(&attempt.backend_name, attempt.label);
         tokio::task::spawn_local(async move {
             let driver = &attempt.driver;
             let (result, response) = tokio::select! {
@@ -831,8 +839,8 @@
             let streamed = response.as_ref().filter(|response| response.body.is_none());
             let took = streamed.map(|response| response.took);
             let took_ms = took.unwrap_or_else(|| attempt.started.get().elapsed()).as_secs_f64() * 1000.0;
-            let (name, class) = (&*attempt.backend_name, attempt.class);
-            driver.observer.attempt_ended(&EndedAttempt { backend: name, class, result, took_ms });
+            let (name, label) = (&*attempt.backend_name, attempt.label);
+            driver.observer.attempt_ended(&EndedAttempt { backend: name, label, result, took_ms });
             driver.attempt_ended(id, number, backend, took_ms, result, response);
         });
         None
--- a/system/src/proxy.rs
+++ b/system/src/proxy.rs
@@ -18,6 +18,7 @@
 use crate::protocol::ToProxy;
 use crate::quota::{QuotaClient, Verdict};
 use crate::replica::StateReplica;
+use crate::routes::numbers::ClassNumbers;
 use crate::routes::{KeyCheck, NameIds, Route, RouteTable, Tenant, Zones};
 use crate::settings::{Settings, Watch};
 use bytes::BytesMut;
@@ -116,7 +117,7 @@
     in_flight: Cell<usize>,
     replica: RefCell<StateReplica>,
     table: RefCell<Option<Rc<RouteTable>>>,
-    routes: RefCell<NameIds>,
+    classes: RefCell<ClassNumbers>,
     pools: RefCell<NameIds>,
     /// The new versions that may get requests, by the pool of their service.
     canary_pools: RefCell<HashMap<u32, CanaryPool>>,
@@ -207,7 +208,7 @@
             in_flight: Cell::new(0),
             replica: RefCell::new(StateReplica::new(&settings.bounds)),
             table: RefCell::default(),
-            routes: RefCell::default(),
+            classes: RefCell::default(),
             pools: RefCell::default(),
             canary_pools: RefCell::default(),
             versions,
@@ -457,7 +458,7 @@
             return None;
         }
         let request_id = request_id_text(parts.headers.get("request-id"));
-        log::trace!("proxy: pipelined request {request_id} of class {} started early", route.class);
+        log::trace!("proxy: pipelined request {request_id} of class {} started early", route.class.number);
         self.metrics.request_pipelined();
         let (proxy, parts, in_flight) = (self.clone(), parts.clone(), InFlight::new(self));
         Some(PendingResponse::new(tokio::task::spawn_local(async move {
@@ -567,7 +568,9 @@
         let request = RequestInfo {
             customer: 0,
             plan: 0,
-            class: route.class,
+            class: route.class.number,
+            label: route.digest,
+            holder: route.clone(),
             units: 1.0,
             customer_gateways: 1.0,
             is_retry: false,
@@ -605,7 +608,7 @@
                 if let FinalResponse::Refused { reason, .. } = response {
                     log::debug!(
                         "proxy: refused class {} pool {} zones {zone_mask:x}: {} after {} attempts",
-                        route.class,
+                        route.class.number,
                         request.pool,
                         reason.name(),
                         summary.attempts
--- a/system/src/proxy/state_updates.rs
+++ b/system/src/proxy/state_updates.rs
@@ -50,7 +50,7 @@
         let mut incoming = MessageReader::<ToProxy>::new(read);
         let result = loop {
             let ready = self.ready();
-            let version_counts = self.versions.report(|class| self.routes.borrow().name_digest(class));
+            let version_counts = self.versions.report();
             outgoing.send(&self.replica.borrow_mut().message(
                 self.now(),
                 self.client_addr.to_string(),
@@ -116,9 +116,8 @@
     fn apply_config(&self) {
         let replica = self.replica.borrow();
         let Some(config) = replica.state().and_then(|state| state.config.as_ref()) else { return };
-        let old_classes = self.table.borrow().as_ref().map(|table| table.classes.clone()).unwrap_or_default();
-        let (mut routes, mut pools) = (self.routes.borrow_mut(), self.pools.borrow_mut());
-        match RouteTable::new(&config.text, &self.zones, &mut routes, &mut pools, &old_classes) {
+        let (mut classes, mut pools) = (self.classes.borrow_mut(), self.pools.borrow_mut());
+        match RouteTable::new(&config.text, &self.zones, &mut classes, &mut pools) {
             Ok(table) => {
                 self.quota_client.borrow_mut().set_limits(self.now(), &table.limits);
                 *self.table.borrow_mut() = Some(Rc::new(table));
@@ -135,7 +134,7 @@
             return;
         };
         self.quota_client.borrow_mut().set_gateways(gateways);
-        let classes = self.table.borrow().as_ref().map(|table| table.classes.clone()).unwrap_or_default();
+        let classes = self.classes.borrow().settings().to_vec();
         let settings =
             driver_settings(&self.settings, &self.zones, classes, gateways as u32, position as u32);
         self.driver.apply_settings(settings, CONNECT_MS, IDLE_MS);
--- a/system/src/proxy/versions.rs
+++ b/system/src/proxy/versions.rs
@@ -21,15 +21,16 @@
     warm_from: Millis,
 }
 
-/// The counts of one roll-out, by class.
+/// The counts of one roll-out, by the digest of the route's name.
 #[derive(Default)]
 struct TrackedRollout {
     generation: u64,
-    by_class: BTreeMap<u32, ClassCounts>,
+    by_route: BTreeMap<u64, VersionPair>,
 }
 
+/// The counts of both versions on one route.
 #[derive(Default)]
-struct ClassCounts {
+struct VersionPair {
     new: Counts,
     old: Counts,
 }
@@ -104,8 +105,8 @@
         tracked.backends.extend(known);
     }
 
-    /// The counts to report. `route_digest` gives the digest of the route of a class.
-    pub(super) fn report(&self, route_digest: impl Fn(u32) -> u64) -> Vec<VersionCounts> {
+    /// The counts to report.
+    pub(super) fn report(&self) -> Vec<VersionCounts> {
         let tracked = self.tracked.borrow();
         let in_flight = |service: &str, is_new: bool| {
             let of_version = tracked
@@ -122,26 +123,26 @@
             service: service.clone(),
             generation: rollout.generation,
             incarnation: self.incarnation,
-            routes: rollout.route_counts(&route_digest),
+            routes: rollout.route_counts(),
             old_in_flight: in_flight(service, false),
             new_in_flight: in_flight(service, true),
         };
         tracked.rollouts.iter().map(report).collect()
     }
 
-    fn attempt_sent(&self, backend: &str, class: u32) {
+    fn attempt_sent(&self, backend: &str, route: u64) {
         let tracked = &mut *self.tracked.borrow_mut();
         match tracked.in_flight.get_mut(backend) {
             Some(count) => *count += 1,
             None => drop(tracked.in_flight.insert(backend.to_owned(), 1)),
         }
-        if let Some((counts, _)) = tracked.counts(backend, class) {
+        if let Some((counts, _)) = tracked.counts(backend, route) {
             counts.sent += 1;
         }
     }
 
     fn attempt_ended(&self, now: Millis, attempt: &EndedAttempt) {
-        let EndedAttempt { backend, class, result, took_ms } = *attempt;
+        let EndedAttempt { backend, label: route, result, took_ms } = *attempt;
         let tracked = &mut *self.tracked.borrow_mut();
         if let Some(count) = tracked.in_flight.get_mut(backend) {
             *count -= 1;
@@ -149,7 +150,7 @@
                 tracked.in_flight.remove(backend);
             }
         }
-        let Some((counts, seen)) = tracked.counts(backend, class) else { return };
+        let Some((counts, seen)) = tracked.counts(backend, route) else { return };
         match result {
             CallResult::Ok => {
                 counts.succeeded += 1;
@@ -170,25 +171,25 @@
 }
 
 impl Tracked {
-    /// The counts of a backend's version for a class, and the backend.
-    fn counts(&mut self, backend: &str, class: u32) -> Option<(&mut Counts, &TrackedBackend)> {
+    /// The counts of a backend's version on a route, and the backend.
+    fn counts(&mut self, backend: &str, route: u64) -> Option<(&mut Counts, &TrackedBackend)> {
         let seen = self.backends.get(backend)?;
         let rollout = self.rollouts.get_mut(&seen.service)?;
-        let counts = rollout.by_class.entry(class).or_default();
+        let counts = rollout.by_route.entry(route).or_default();
         Some((if seen.is_new { &mut counts.new } else { &mut counts.old }, seen))
     }
 }
 
 impl TrackedRollout {
     /// The counts of the routes with the most requests by themselves, those of the others together.
-    fn route_counts(&self, route_digest: impl Fn(u32) -> u64) -> Vec<RouteCounts> {
-        let mut by_class: Vec<_> = self.by_class.iter().collect();
-        by_class.sort_by_key(|(_, counts)| std::cmp::Reverse(counts.new.sent + counts.old.sent));
-        let (listed, others) = by_class.split_at(by_class.len().min(MAX_ROUTES));
+    fn route_counts(&self) -> Vec<RouteCounts> {
+        let mut by_route: Vec<_> = self.by_route.iter().collect();
+        by_route.sort_by_key(|(_, counts)| std::cmp::Reverse(counts.new.sent + counts.old.sent));
+        let (listed, others) = by_route.split_at(by_route.len().min(MAX_ROUTES));
         let mut routes: Vec<_> = listed
             .iter()
-            .map(|(class, counts)| RouteCounts {
-                route: route_digest(**class),
+            .map(|(route, counts)| RouteCounts {
+                route: **route,
                 new: Some(counts.new.clone()),
                 old: Some(counts.old.clone()),
             })
@@ -229,8 +230,8 @@
 }
 
 impl Observer for ProxyObserver {
-    fn attempt_sent(&self, backend: &str, class: u32) {
-        self.versions.attempt_sent(backend, class);
+    fn attempt_sent(&self, backend: &str, label: u64) {
+        self.versions.attempt_sent(backend, label);
     }
 
     fn attempt_ended(&self, attempt: &EndedAttempt) {
--- a/system/src/routes.rs
+++ b/system/src/routes/mod.rs
@@ -1,5 +1,8 @@
 //! The routing table of a proxy: finds the route of a request and the tenant of an API key.
 
+pub mod numbers;
+
+use self::numbers::{ClassNumbers, RouteClass};
 use crate::config::{Config, Forward, InvalidConfig};
 use crate::quota::Limit;
 use crate::state::digest;
@@ -20,12 +23,6 @@
 pub struct NameIds(HashMap<String, u32>);
 
 impl NameIds {
-    /// A digest of the name with this ID; zero if there is none. A linear search, for a few IDs at a time.
-    pub fn name_digest(&self, id: u32) -> u64 {
-        let name = self.0.iter().find(|(_, known)| **known == id).map(|(name, _)| name);
-        name.map_or(0, |name| digest(name.as_bytes()))
-    }
-
     /// The ID of a name. Names beyond the limit share one ID.
     pub fn id(&mut self, name: &str) -> u32 {
         let next = self.0.len().min(MAX_IDS) as u32;
@@ -36,7 +33,9 @@
 /// A route.
 pub struct Route {
     /// Its request class in the decision module.
-    pub class: u32,
+    pub class: Rc<RouteClass>,
+    /// Digest of its name, which identifies it to other processes.
+    pub digest: u64,
     /// IDs and weights of the services that it forwards to.
     pub pools: Vec<(u32, f64)>,
     /// Timeout of a request.
@@ -69,8 +68,6 @@
     keys: Option<HashMap<String, Rc<Tenant>>>,
     /// Rate limits by tenant name.
     pub limits: BTreeMap<String, Limit>,
-    /// Request classes by route ID, including those of routes that were removed.
-    pub classes: Vec<Class>,
     /// Requests per second that a cold backend can serve, by service ID.
     pub cold_per_s: HashMap<u32, f64>,
     /// Warm-up time of backends in ms, by service ID.
@@ -128,25 +125,23 @@
 }
 
 impl RouteTable {
-    /// Builds the table from a configuration's JSON text. Classes of removed routes are kept from `former`.
+    /// Builds the table from a configuration's JSON text.
     pub fn new(
-        text: &str, zones: &Zones, routes: &mut NameIds, pools: &mut NameIds, former: &[Class],
+        text: &str, zones: &Zones, classes: &mut ClassNumbers, pools: &mut NameIds,
     ) -> Result<RouteTable, InvalidConfig> {
         let config = Config::read(text)?;
         let duration = |text: &str| units::parse_duration(text).unwrap_or_default();
-        let mut classes = former.to_vec();
+        classes.release_unused();
         let mut hosts: HashMap<String, Vec<(String, Rc<Route>)>> = HashMap::new();
         for host in config.hosts {
             let host_routes = hosts.entry(host.name.to_ascii_lowercase()).or_default();
             for rule in host.routes {
-                let class = routes.id(&rule.name);
                 let Forward { service, split, timeout, attempts, home_regions } = rule.forward;
                 let (timeout, target) = (duration(&timeout), duration(&rule.target));
                 let effect =
                     if rule.kind == "unsafe" { Idempotency::NonIdempotent } else { Idempotency::Idempotent };
-                let index = class as usize;
-                classes.resize(classes.len().max(index + 1), Class::default());
-                classes[index] = Class {
+                let class_settings = Class {
+                    owner: digest(rule.name.as_bytes()),
                     target_ms: target.as_secs_f64() * 1000.0,
                     deadline_ms: timeout.as_secs_f64() * 1000.0,
                     worth: 1.0,
@@ -162,7 +157,8 @@
                     }
                 };
                 let route = Route {
-                    class,
+                    class: classes.class(&rule.name, class_settings),
+                    digest: class_settings.owner,
                     pools,
                     timeout,
                     target,
@@ -195,7 +191,7 @@
             cold_ms.insert(pool, warm_up_ms);
         }
         let (body_bytes, idle_timeout) = (config.limits.body_bytes, duration(&config.limits.idle_timeout));
-        Ok(RouteTable { hosts, keys, limits, classes, cold_per_s, cold_ms, body_bytes, idle_timeout })
+        Ok(RouteTable { hosts, keys, limits, cold_per_s, cold_ms, body_bytes, idle_timeout })
     }
 
     /// The route of a request, by host name (a port is ignored) and longest path prefix.
--- a/system/tests/config_changes.rs
+++ b/system/tests/config_changes.rs
@@ -20,6 +20,10 @@
 
 /// Time that a backend takes to process a request.
 const PROCESSING_TIME: Duration = Duration::from_millis(200);
+/// Versions that pass, each with names that the next one no longer has.
+const PASSING_VERSIONS: usize = 42;
+/// Names of routes or services that each of these versions adds: over 16,384 altogether.
+const NAMES_PER_VERSION: usize = 400;
 /// Buffer of a connection in each direction.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -207,19 +211,26 @@
     )
 }
 
-/// Sends a request and returns the status of its response.
-async fn send(proxy: Rc<Proxy>, path: String, request_id: &'static str) -> u16 {
+/// Sends a request, with its body after a while, and returns the status of its response.
+async fn send_slowly(proxy: Rc<Proxy>, path: String, request_id: &'static str, body_delay: Duration) -> u16 {
     let (mut client, server) = tokio::io::duplex(BUFFER_BYTES);
     tokio::task::spawn_local(proxy.serve_connection(MemoryConnection(server)));
-    let request = format!(
+    let head = format!(
         "POST {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {request_id}\r\nDeadline-Ms: 2000\r\n\
-         Connection: close\r\nContent-Length: 0\r\n\r\n"
+         Connection: close\r\nContent-Length: 4\r\n\r\n"
     );
-    client.write_all(request.as_bytes()).await.expect("the request is sent");
+    client.write_all(head.as_bytes()).await.expect("the head is sent");
+    sleep(body_delay).await;
+    client.write_all(b"body").await.expect("the body is sent");
     let head = read_head(&mut client).await.expect("a response");
     head.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
 }
 
+/// Sends a request and returns the status of its response.
+async fn send(proxy: Rc<Proxy>, path: String, request_id: &'static str) -> u16 {
+    send_slowly(proxy, path, request_id, Duration::ZERO).await
+}
+
 fn run_in_virtual_time(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
@@ -257,3 +268,49 @@
         });
     }
 }
+
+/// Guards against an unsafe request that runs twice because its route became safe while its body arrived.
+#[test]
+fn a_request_keeps_the_kind_of_its_route_while_its_body_arrives() {
+    run_in_virtual_time(async {
+        let backends = [("i-1", "s1"), ("i-2", "s1"), ("i-3", "s1")];
+        let world = World::new();
+        let proxy = world.start_proxy(&config_of_kind("unsafe"), &backends);
+        world.loses_responses.set(true);
+        let request = send_slowly(proxy.clone(), "/hold/1".into(), "q-1", 2 * PROCESSING_TIME);
+        let response = tokio::task::spawn_local(request);
+        sleep(PROCESSING_TIME).await;
+        assert!(world.runs_of("q-1").is_empty(), "its body is incomplete");
+        proxy.apply_update(world.update(&config_of_kind("safe"), &backends));
+        assert_eq!(response.await.expect("a response"), 502);
+        assert_eq!(world.runs_of("q-1").len(), 1);
+    });
+}
+
+/// Guards against an unsafe request that runs twice because its route shares the class of a safe one, after more
+/// names of routes have passed than there are class numbers.
+#[test]
+fn an_unsafe_request_runs_once_however_many_routes_have_passed() {
+    run_in_virtual_time(async {
+        let backends = [("i-1", "s1"), ("i-2", "s1"), ("i-3", "s1")];
+        let world = World::new();
+        let proxy = world.start_proxy(&config_of_kind("unsafe"), &backends);
+        for version in 0..PASSING_VERSIONS {
+            let names: Vec<_> = (0..NAMES_PER_VERSION).map(|n| format!("r-{version}-{n}")).collect();
+            let prefixes: Vec<_> = names.iter().map(|name| format!("/{name}/")).collect();
+            let routes = names.iter().zip(&prefixes);
+            let routes: Vec<_> = routes
+                .map(|(name, prefix)| RouteEntry { name, kind: "safe", prefix, service: "s1" })
+                .collect();
+            proxy.apply_update(world.update(&config(&routes, &["s1".into()]), &backends));
+        }
+        let route = |name, kind, prefix| RouteEntry { name, kind, prefix, service: "s1" };
+        let last = [route("r-once", "unsafe", "/once/"), route("r-safe", "safe", "/safe/")];
+        proxy.apply_update(world.update(&config(&last, &["s1".into()]), &backends));
+        world.loses_responses.set(true);
+        assert_eq!(send(proxy.clone(), "/once/1".into(), "q-1").await, 502);
+        assert_eq!(world.runs_of("q-1").len(), 1);
+        send(proxy, "/safe/1".into(), "q-2").await;
+        assert_eq!(world.runs_of("q-2").len(), 3);
+    });
+}
