The number of a pool belongs to one service while anything refers to it

Cause: a name kept its number for the life of the process, so the numbers were bounded, and every name beyond the bound got the last one. The decision module keeps pools apart by number alone.

Change: a pool's number is free when neither a route table, the list of backends nor a request refers to it, and it is given again only after all others of 32 bits, as the decision module remembers a pool for a while; numbers in use are passed over. The decision module forgets pools that nothing belongs to. Pools of new versions are kept apart from services by type and no longer by a derived name that a service could have. A route without any weight is refused; it was sent to pool 0.

Why it works: two pools that exist have two numbers by construction, at any count, and the memory follows what is in use.

--- a/lab/src/scale/simulated_gateway.rs
+++ b/lab/src/scale/simulated_gateway.rs
@@ -11,8 +11,8 @@
 };
 use oakfall_system::quota::QuotaClient;
 use oakfall_system::raft::MAX_ENTRY_VERSION;
-use oakfall_system::routes::numbers::ClassNumbers;
-use oakfall_system::routes::{NameIds, RouteTable, Zones};
+use oakfall_system::routes::numbers::{ClassNumbers, PoolNumbers};
+use oakfall_system::routes::{RouteTable, Zones};
 use oakfall_system::settings::Settings;
 use oakfall_system::state::{DigestCache, State, Touched};
 use prost::Message;
@@ -144,7 +144,7 @@
     differs: bool,
     table: Option<RouteTable>,
     classes: ClassNumbers,
-    pools: NameIds,
+    pools: PoolNumbers,
     quota_client: QuotaClient,
     /// Time of the last contact with the leader.
     last_leader_contact: Option<Millis>,
@@ -164,7 +164,7 @@
             differs: false,
             table: None,
             classes: ClassNumbers::default(),
-            pools: NameIds::default(),
+            pools: PoolNumbers::default(),
             quota_client: QuotaClient::new(settings.bounds.quota_slack),
             last_leader_contact: None,
             settings,
--- a/src/choice/admission.rs
+++ b/src/choice/admission.rs
@@ -147,11 +147,7 @@
     }
 
     pub(super) fn pool_load(&mut self, pool: u32) -> &mut PoolLoad {
-        let (pool, now) = (pool as usize, self.started_at);
-        while self.pools.len() <= pool {
-            self.pools.push(PoolLoad::new(&self.settings.rules, now));
-        }
-        &mut self.pools[pool]
+        self.pools.entry(pool).or_insert_with(|| PoolLoad::new(&self.settings.rules, self.started_at))
     }
 
     /// Brings the pool's averages up to now, then adds to the requests in flight and the responses.
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -6,7 +6,7 @@
 use crate::state::*;
 use crate::subset::subset_rank;
 use crate::summary::Summary;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use tuning::*;
 
 mod admission;
@@ -28,7 +28,7 @@
     customers: BTreeMap<CustomerId, Customer>,
     requests: BTreeMap<RequestId, OpenRequest>,
     counter: counting::CounterClient,
-    pools: Vec<PoolLoad>,
+    pools: BTreeMap<u32, PoolLoad>,
     mean_units: f64,
     classes: Vec<ClassLatency>,
     list_retry_at: Option<Millis>,
@@ -48,7 +48,7 @@
             customers: BTreeMap::new(),
             requests: BTreeMap::new(),
             counter: counting::CounterClient::new(settings.gateways, now),
-            pools: vec![PoolLoad::new(&settings.rules, now)],
+            pools: BTreeMap::new(),
             mean_units: 1.0,
             classes: settings.classes.iter().map(initial).collect(),
             list_retry_at: None,
@@ -130,6 +130,10 @@
         let limited = self.settings.plans.iter().filter(|p| p.ceiling_rate > 0.0);
         let refill_ms = limited.map(|p| p.ceiling_burst / p.ceiling_rate * 1000.0);
         let expiry_ms = refill_ms.fold(IDLE_EXPIRY_MS, f64::max);
+        let listed: BTreeSet<u32> = self.backends.values().map(|backend| backend.listed.pool).collect();
+        self.pools.retain(|pool, load| {
+            load.in_flight > 0.0 || listed.contains(pool) || now - load.requests_at < IDLE_EXPIRY_MS
+        });
         self.customers.retain(|_, c| {
             let busy = c.counter_calls > 0 || c.attempts_in_flight > 0 || c.waiting_units > 0.0;
             busy || now - c.last_used_at < expiry_ms
--- a/system/src/proxy.rs
+++ b/system/src/proxy.rs
@@ -18,8 +18,8 @@
 use crate::protocol::ToProxy;
 use crate::quota::{QuotaClient, Verdict};
 use crate::replica::StateReplica;
-use crate::routes::numbers::ClassNumbers;
-use crate::routes::{KeyCheck, NameIds, Route, RouteTable, Tenant, Zones};
+use crate::routes::numbers::{ClassNumbers, ListedPools, PoolNumbers};
+use crate::routes::{KeyCheck, Route, RouteTable, Tenant, Zones};
 use crate::settings::{Settings, Watch};
 use bytes::BytesMut;
 use eyre::{eyre, Result, WrapErr};
@@ -118,7 +118,9 @@
     replica: RefCell<StateReplica>,
     table: RefCell<Option<Rc<RouteTable>>>,
     classes: RefCell<ClassNumbers>,
-    pools: RefCell<NameIds>,
+    pools: RefCell<PoolNumbers>,
+    /// The pools of the list of backends.
+    listed_pools: RefCell<ListedPools>,
     /// The new versions that may get requests, by the pool of their service.
     canary_pools: RefCell<HashMap<u32, CanaryPool>>,
     versions: Rc<VersionTracker>,
@@ -210,6 +212,7 @@
             table: RefCell::default(),
             classes: RefCell::default(),
             pools: RefCell::default(),
+            listed_pools: RefCell::default(),
             canary_pools: RefCell::default(),
             versions,
             evacuated: Cell::new(0),
@@ -564,7 +567,9 @@
         let zone_mask = route.zone_mask
             & tenant.as_ref().map_or(u64::MAX, |tenant| tenant.zone_mask)
             & !self.evacuated.get();
-        let pool = self.choose_pool(&route);
+        let Some(pool) = self.choose_pool(&route) else {
+            return not_run_response(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER_MS);
+        };
         let request = RequestInfo {
             customer: 0,
             plan: 0,
@@ -677,17 +682,17 @@
         (may_send && self.rng.borrow_mut().f64() < canary.share).then_some(canary.pool)
     }
 
-    /// Chooses one of the route's pools at random by weight.
-    fn choose_pool(&self, route: &Route) -> u32 {
+    /// Chooses one of the route's pools at random by weight; `None` if none has any.
+    fn choose_pool(&self, route: &Route) -> Option<u32> {
         let sum: f64 = route.pools.iter().map(|(_, weight)| weight).sum();
         let mut drawn = self.rng.borrow_mut().f64() * sum;
         for (pool, weight) in &route.pools {
             if drawn < *weight {
-                return *pool;
+                return Some(pool.number);
             }
             drawn -= weight;
         }
-        route.pools.iter().rev().find(|(_, weight)| *weight > 0.0).map_or(0, |(pool, _)| *pool)
+        route.pools.iter().rev().find(|(_, weight)| *weight > 0.0).map(|(pool, _)| pool.number)
     }
 }
 
--- a/system/src/proxy/state_updates.rs
+++ b/system/src/proxy/state_updates.rs
@@ -9,7 +9,8 @@
 use crate::rate_shares::Shares;
 use crate::replica::Effects;
 use crate::rollout::placement::{Placement, Placements};
-use crate::routes::{RouteTable, Zones};
+use crate::routes::numbers::ListedPools;
+use crate::routes::{RouteTable, WarmUp, Zones};
 use crate::settings::Settings;
 use crate::state::Touched;
 use oakfall::plane::driver::DiscoveredBackend as DriverBackend;
@@ -144,7 +145,7 @@
         let replica = self.replica.borrow();
         let Some(state) = replica.state() else { return };
         let table = self.table.borrow();
-        let mut pools = self.pools.borrow_mut();
+        let (mut pools, mut listed_pools) = (self.pools.borrow_mut(), ListedPools::default());
         let evacuated =
             state.evacuated.iter().fold(0, |mask, zone| mask | 1 << self.zones.number(zone).min(63));
         self.evacuated.set(evacuated);
@@ -152,8 +153,7 @@
         let region = |zone: &str| self.zones.region(zone);
         let full_rate = replica.has_full_rate(proxy_now);
         self.full_rate.set(full_rate);
-        let warm_up_ms =
-            |pool: u32| table.as_ref().and_then(|table| table.cold_ms.get(&pool)).copied().unwrap_or(0.0);
+        let warm_up = |pool: u32| table.as_ref().map_or(&WarmUp::NONE, |table| table.warm_up(pool));
         let closes_unordered = self.settings.closes_unordered_versions;
         let registered = state.backends.values().map(|known| &known.backend);
         let placements = Placements::new(&state.versions, closes_unordered, registered, region, |zone| {
@@ -161,15 +161,15 @@
         });
         let canary_pools = state.versions.all_under_way().filter_map(|rollout| {
             let service = &rollout.order.service;
-            let canary = CanaryPool::of(rollout, pools.id(&canary_pool_name(service)))?;
-            Some((pools.id(service), canary))
+            let canary = CanaryPool::of(rollout, listed_pools.hold(pools.of_canaries(service)))?;
+            Some((listed_pools.hold(pools.of_service(service)), canary))
         });
         *self.canary_pools.borrow_mut() = canary_pools.collect();
         let seen = state.backends.values().map(|known| SeenBackend {
             backend: &known.backend,
             is_near: region(&known.backend.zone) == Some(&self.settings.region),
             cold_until: known.cold_until,
-            warm_up_ms: warm_up_ms(pools.id(&known.backend.service)),
+            warm_up_ms: warm_up(pools.of_service(&known.backend.service).number).duration_ms,
         });
         self.versions.update(proxy_now, &state.versions, seen);
         // Computed only if some backend is rate-limited.
@@ -179,18 +179,18 @@
         });
         let listed_backends = state.backends.values().filter_map(|known| {
             let backend = &known.backend;
-            let (service_pool, zone) = (pools.id(&backend.service), self.zones.number(&backend.zone));
+            let service_pool = listed_pools.hold(pools.of_service(&backend.service));
+            let zone = self.zones.number(&backend.zone);
             let placement = placements.of(backend);
             let pool = match placement {
-                Placement::Canary => pools.id(&canary_pool_name(&backend.service)),
+                Placement::Canary => listed_pools.hold(pools.of_canaries(&backend.service)),
                 Placement::InService | Placement::Closed => service_pool,
             };
             let gets_requests = placement != Placement::Closed && !backend.draining;
-            let cold_per_s =
-                table.as_ref().and_then(|table| table.cold_per_s.get(&service_pool)).copied().unwrap_or(0.0);
+            let WarmUp { cold_per_s, duration_ms: warm_up_ms, .. } = *warm_up(service_pool);
             // Backends may have become cold while their zone was evacuated.
             let warm_after_evacuation =
-                state.evacuation_ends.get(&backend.zone).map_or(0.0, |at| at + warm_up_ms(service_pool));
+                state.evacuation_ends.get(&backend.zone).map_or(0.0, |at| at + warm_up_ms);
             let cold_until = known.cold_until.max(warm_after_evacuation);
             let cold_until = if cold_until > proxy_now { driver_now + cold_until - proxy_now } else { 0.0 };
             let cold = cold_per_s > 0.0 && cold_until > driver_now;
@@ -230,15 +230,12 @@
             })
         });
         self.driver.update_backends(true, listed_backends.collect());
+        *self.listed_pools.borrow_mut() = listed_pools;
+        pools.release_unused();
         self.driver.discovery_synced();
     }
 }
 
-/// The name of the pool of a service's new version. Names of services hold no line break.
-fn canary_pool_name(service: &str) -> String {
-    format!("{service}\ncanary")
-}
-
 /// Settings of the decision module.
 pub(super) fn driver_settings(
     settings: &Settings, zones: &Zones, classes: Vec<oakfall::Class>, gateways: u32, position: u32,
--- a/system/src/routes/mod.rs
+++ b/system/src/routes/mod.rs
@@ -2,8 +2,8 @@
 
 pub mod numbers;
 
-use self::numbers::{ClassNumbers, RouteClass};
-use crate::config::{Config, Forward, InvalidConfig};
+use self::numbers::{ClassNumbers, Pool, PoolNumbers, RouteClass};
+use crate::config::{Config, Forward, InvalidConfig, WeightedService};
 use crate::quota::Limit;
 use crate::state::digest;
 use crate::units;
@@ -15,20 +15,6 @@
 /// Value of a response after the latency target, relative to one in time. The configuration has no field for
 /// it.
 const LATE_WORTH: f64 = 0.3;
-/// Maximum number of distinct IDs. IDs are never freed, so this bounds what is stored by ID.
-const MAX_IDS: usize = 16_384;
-
-/// Numeric IDs for names. A name keeps its ID for the lifetime of the process.
-#[derive(Default)]
-pub struct NameIds(HashMap<String, u32>);
-
-impl NameIds {
-    /// The ID of a name. Names beyond the limit share one ID.
-    pub fn id(&mut self, name: &str) -> u32 {
-        let next = self.0.len().min(MAX_IDS) as u32;
-        *self.0.entry(name.to_owned()).or_insert(next)
-    }
-}
 
 /// A route.
 pub struct Route {
@@ -36,8 +22,8 @@
     pub class: Rc<RouteClass>,
     /// Digest of its name, which identifies it to other processes.
     pub digest: u64,
-    /// IDs and weights of the services that it forwards to.
-    pub pools: Vec<(u32, f64)>,
+    /// Pools and weights of the services that it forwards to.
+    pub pools: Vec<(Rc<Pool>, f64)>,
     /// Timeout of a request.
     pub timeout: Duration,
     /// Latency target: faster responses have their full value.
@@ -68,16 +54,29 @@
     keys: Option<HashMap<String, Rc<Tenant>>>,
     /// Rate limits by tenant name.
     pub limits: BTreeMap<String, Limit>,
-    /// Requests per second that a cold backend can serve, by service ID.
-    pub cold_per_s: HashMap<u32, f64>,
-    /// Warm-up time of backends in ms, by service ID.
-    pub cold_ms: HashMap<u32, f64>,
+    /// How backends of the services warm up, by the number of the service's pool.
+    warm_ups: HashMap<u32, WarmUp>,
     /// Largest request body.
     pub body_bytes: u64,
     /// Time that a client connection may be idle.
     pub idle_timeout: Duration,
 }
 
+/// How the backends of a service warm up after their start.
+pub struct WarmUp {
+    /// Requests per second that a cold backend can serve; 0 for no limit.
+    pub cold_per_s: f64,
+    /// Time until a backend is warm, in ms.
+    pub duration_ms: f64,
+    /// Keeps the number of the service's pool.
+    _pool: Option<Rc<Pool>>,
+}
+
+impl WarmUp {
+    /// Backends that are warm at once.
+    pub const NONE: WarmUp = WarmUp { cold_per_s: 0.0, duration_ms: 0.0, _pool: None };
+}
+
 /// The result of checking a request's API key.
 pub enum KeyCheck {
     /// No key is required.
@@ -127,7 +126,7 @@
 impl RouteTable {
     /// Builds the table from a configuration's JSON text.
     pub fn new(
-        text: &str, zones: &Zones, classes: &mut ClassNumbers, pools: &mut NameIds,
+        text: &str, zones: &Zones, classes: &mut ClassNumbers, pools: &mut PoolNumbers,
     ) -> Result<RouteTable, InvalidConfig> {
         let config = Config::read(text)?;
         let duration = |text: &str| units::parse_duration(text).unwrap_or_default();
@@ -151,9 +150,10 @@
                 };
                 let split = split.unwrap_or_default();
                 let pools = match service {
-                    Some(service) => vec![(pools.id(&service), 1.0)],
+                    Some(service) => vec![(pools.of_service(&service), 1.0)],
                     None => {
-                        split.iter().map(|weighted| (pools.id(&weighted.service), weighted.weight)).collect()
+                        let weighted = |w: &WeightedService| (pools.of_service(&w.service), w.weight);
+                        split.iter().map(weighted).collect()
                     }
                 };
                 let route = Route {
@@ -182,16 +182,26 @@
             }
             keys
         });
-        let (mut cold_per_s, mut cold_ms) = (HashMap::new(), HashMap::new());
+        let mut warm_ups = HashMap::new();
         for service in &config.services {
-            let pool = pools.id(&service.name);
-            cold_per_s.insert(pool, service.cold_per_s.unwrap_or(0.0));
-            let warm_up_ms =
-                service.warm_up.as_deref().map_or(0.0, |time| duration(time).as_secs_f64() * 1000.0);
-            cold_ms.insert(pool, warm_up_ms);
+            let pool = pools.of_service(&service.name);
+            let warm_up = WarmUp {
+                cold_per_s: service.cold_per_s.unwrap_or(0.0),
+                duration_ms: service
+                    .warm_up
+                    .as_deref()
+                    .map_or(0.0, |time| duration(time).as_secs_f64() * 1000.0),
+                _pool: Some(pool.clone()),
+            };
+            warm_ups.insert(pool.number, warm_up);
         }
         let (body_bytes, idle_timeout) = (config.limits.body_bytes, duration(&config.limits.idle_timeout));
-        Ok(RouteTable { hosts, keys, limits, cold_per_s, cold_ms, body_bytes, idle_timeout })
+        Ok(RouteTable { hosts, keys, limits, warm_ups, body_bytes, idle_timeout })
+    }
+
+    /// How the backends of this pool's service warm up.
+    pub fn warm_up(&self, pool: u32) -> &WarmUp {
+        self.warm_ups.get(&pool).unwrap_or(&WarmUp::NONE)
     }
 
     /// The route of a request, by host name (a port is ignored) and longest path prefix.
--- a/system/src/routes/numbers.rs
+++ b/system/src/routes/numbers.rs
@@ -2,7 +2,7 @@
 //! again only when no route table and no request refers to it.
 
 use oakfall::Class;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::{Rc, Weak};
 
 /// A request class: a route with the settings that the decision module needs. Its number is not given to another
@@ -58,3 +58,96 @@
         class
     }
 }
+
+/// A pool of backends: those of a service, or those of a service's new version.
+pub struct Pool {
+    /// Its number in the decision module. No other pool gets it while this exists.
+    pub number: u32,
+}
+
+/// The pools of services by name.
+#[derive(Default)]
+pub struct PoolNumbers {
+    services: HashMap<String, Rc<Pool>>,
+    canaries: HashMap<String, Rc<Pool>>,
+    sequence: NumberSequence,
+}
+
+impl PoolNumbers {
+    /// Pools whose numbers start with this one.
+    pub fn starting_at(first: u32) -> Self {
+        let sequence = NumberSequence { next: first, ..NumberSequence::default() };
+        PoolNumbers { sequence, ..PoolNumbers::default() }
+    }
+
+    /// The pool of a service.
+    pub fn of_service(&mut self, service: &str) -> Rc<Pool> {
+        self.sequence.pool(&mut self.services, service)
+    }
+
+    /// The pool of a service's new version.
+    pub fn of_canaries(&mut self, service: &str) -> Rc<Pool> {
+        self.sequence.pool(&mut self.canaries, service)
+    }
+
+    /// Forgets the pools to which nothing refers any more.
+    pub fn release_unused(&mut self) {
+        for pools in [&mut self.services, &mut self.canaries] {
+            pools.retain(|_, pool| {
+                let in_use = Rc::strong_count(pool) > 1;
+                if !in_use {
+                    self.sequence.in_use.remove(&pool.number);
+                }
+                in_use
+            });
+        }
+    }
+
+    /// The number of pools that are known.
+    pub fn count(&self) -> usize {
+        self.services.len() + self.canaries.len()
+    }
+}
+
+/// Numbers in ascending order, without those in use. One that is free is not given again before all others were, as
+/// the decision module may remember a pool for a while.
+#[derive(Default)]
+struct NumberSequence {
+    next: u32,
+    in_use: HashSet<u32>,
+}
+
+impl NumberSequence {
+    /// The pool of this name, with a new number if there is none.
+    fn pool(&mut self, pools: &mut HashMap<String, Rc<Pool>>, name: &str) -> Rc<Pool> {
+        if let Some(pool) = pools.get(name) {
+            return pool.clone();
+        }
+        let pool = Rc::new(Pool { number: self.take() });
+        pools.insert(name.to_owned(), pool.clone());
+        pool
+    }
+
+    fn take(&mut self) -> u32 {
+        loop {
+            let number = self.next;
+            self.next = self.next.wrapping_add(1);
+            if self.in_use.insert(number) {
+                return number;
+            }
+        }
+    }
+}
+
+/// Pools by number that a list of backends refers to.
+#[derive(Default)]
+pub struct ListedPools(HashMap<u32, Rc<Pool>>);
+
+impl ListedPools {
+    /// Holds the pool, and returns its number.
+    pub fn hold(&mut self, pool: Rc<Pool>) -> u32 {
+        let number = pool.number;
+        self.0.entry(number).or_insert(pool);
+        number
+    }
+}
--- a/system/tests/config_changes.rs
+++ b/system/tests/config_changes.rs
@@ -7,6 +7,7 @@
 use oakfall_system::proxy::Proxy;
 use oakfall_system::settings::Settings;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -314,3 +315,31 @@
         assert_eq!(world.runs_of("q-2").len(), 3);
     });
 }
+
+/// Guards against two services that share their backends, after more names of services have passed than there are
+/// numbers.
+#[test]
+fn services_never_share_backends_however_many_have_passed() {
+    run_in_virtual_time(async {
+        let backends = [("i-1", "stock"), ("i-2", "stock"), ("i-3", "history"), ("i-4", "history")];
+        let world = World::new();
+        let proxy = world.start_proxy(&config_of_kind("safe"), &[]);
+        for version in 0..PASSING_VERSIONS {
+            let services: Vec<_> = (0..NAMES_PER_VERSION).map(|n| format!("s-{version}-{n}")).collect();
+            proxy.apply_update(world.update(&config(&[], &services), &[]));
+        }
+        let route = |name, prefix, service| RouteEntry { name, kind: "safe", prefix, service };
+        let last = [route("r-1", "/stock/", "stock"), route("r-2", "/history/", "history")];
+        let services = ["stock".to_owned(), "history".to_owned()];
+        proxy.apply_update(world.update(&config(&last, &services), &backends));
+        for number in 0..50 {
+            assert_eq!(send(proxy.clone(), format!("/stock/{number}"), "q-1").await, 200);
+            assert_eq!(send(proxy.clone(), format!("/history/{number}"), "q-2").await, 200);
+        }
+        let backends_of = |request_id: &str| -> BTreeSet<String> {
+            world.runs_of(request_id).into_iter().map(|run| run.backend).collect()
+        };
+        assert_eq!(backends_of("q-1"), ["i-1".to_owned(), "i-2".to_owned()].into());
+        assert_eq!(backends_of("q-2"), ["i-3".to_owned(), "i-4".to_owned()].into());
+    });
+}
--- a/system/tests/route_numbers.rs
+++ b/system/tests/route_numbers.rs
@@ -1,8 +1,9 @@
 //! Numbers of routes and services: never shared, and bounded by what is in use.
 
 use oakfall::{Class, Idempotency};
-use oakfall_system::routes::numbers::ClassNumbers;
-use std::collections::BTreeSet;
+use oakfall_system::routes::numbers::{ClassNumbers, Pool, PoolNumbers};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 /// Routes of one version, in the drawn histories.
 const ROUTES_PER_VERSION: usize = 10;
@@ -63,3 +64,27 @@
     assert_eq!(distinct.len(), 400);
     assert!(numbers.settings().len() <= 800, "{}", numbers.settings().len());
 }
+
+/// Guards against two services with one pool of backends, also when the numbers start again from 0.
+#[test]
+fn pools_in_use_never_share_a_number() {
+    bolero::check!().with_iterations(400).with_type::<u64>().for_each(|seed| {
+        let mut rng = fastrand::Rng::with_seed(*seed);
+        let mut numbers = PoolNumbers::starting_at(u32::MAX - rng.u32(0..1000));
+        let mut in_use: Vec<((bool, String), Rc<Pool>)> = Vec::new();
+        for _ in 0..200 {
+            in_use.retain(|_| rng.u32(0..4) > 0);
+            for _ in 0..rng.usize(0..10) {
+                let (is_canary, name) = (rng.bool(), rng.u32(0..40).to_string());
+                let pool = if is_canary { numbers.of_canaries(&name) } else { numbers.of_service(&name) };
+                in_use.push(((is_canary, name), pool));
+            }
+            numbers.release_unused();
+            let mut owners = BTreeMap::new();
+            for (owner, pool) in &in_use {
+                assert_eq!(owners.entry(pool.number).or_insert(owner), &owner, "one number, two pools");
+            }
+            assert_eq!(numbers.count(), owners.len(), "unused pools are forgotten");
+        }
+    });
+}
