A patch is read whole before it changes anything

Cause: a patch was read while it was applied, and a field of a type without a meaning was skipped as if it were missing.

Change: a patch is read into a type first. A wrong type of `deliver`, `withdraw`, one of their sections or a host's `regulations`, and a member that a patch does not have, make it invalid: 400 with the field. Hosts without routes and unknown fields of a host, which a whole configuration keeps, are applied. `null` counts as missing, as before.

Why it works: nothing is applied that was not read, and what is read is taken out of the object, so that what is left over is noticed.

--- a/system/src/config.rs
+++ b/system/src/config/mod.rs
@@ -1,8 +1,11 @@
-//! The operators' configuration (JSON): its format, its validation, and patches of named items.
+//! The operators' configuration (JSON): its format, its validation, and the requests that change it.
 
+mod patch;
+
+use self::patch::ConfigPatch;
 use crate::quota::Limit;
 use crate::units;
-use miniserde::json::{Array, Object, Value};
+use miniserde::json::{Object, Value};
 use miniserde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
@@ -329,26 +332,11 @@
     }
 
     /// Applies the request as a patch; returns the full configuration, validated, and its JSON text.
-    pub fn apply_to(mut self, current: &str) -> Result<(Config, String), InvalidConfig> {
+    pub fn apply_to(self, current: &str) -> Result<(Config, String), InvalidConfig> {
         let Ok(Value::Object(mut config)) = miniserde::json::from_str::<Value>(current) else {
             return invalid("there is no configuration to change");
         };
-        if let Some(edition) = self.object.remove("edition") {
-            config.insert("edition".into(), edition);
-        }
-        if let Some(Value::Object(withdraw)) = self.object.remove("withdraw") {
-            for (section, names) in withdraw {
-                let Value::Array(names) = names else {
-                    return invalid(format!("withdraw.{section} is no list"));
-                };
-                remove_items(&mut config, &section, &names)?;
-            }
-        }
-        if let Some(Value::Object(deliver)) = self.object.remove("deliver") {
-            for (section, items) in deliver {
-                upsert_items(&mut config, &section, items)?;
-            }
-        }
+        ConfigPatch::read(self.object)?.apply_to(&mut config)?;
         let text = miniserde::json::to_string(&config);
         Ok((Config::read(&text)?, text))
     }
@@ -366,122 +354,3 @@
     hasher.write(text.as_bytes());
     hasher.finish()
 }
-
-fn string_field(value: &Value, field: &str) -> Option<String> {
-    match value {
-        Value::Object(object) => match object.get(field) {
-            Some(Value::String(text)) => Some(text.clone()),
-            _ => None,
-        },
-        _ => None,
-    }
-}
-
-/// The list in this field, which is set to an empty one if there is none.
-fn list_field<'a>(object: &'a mut Object, field: &str) -> &'a mut Array {
-    if !matches!(object.get(field), Some(Value::Array(_))) {
-        object.insert(field.to_owned(), Value::Array(Array::new()));
-    }
-    match object.get_mut(field) {
-        Some(Value::Array(list)) => list,
-        _ => unreachable!("the field was set to a list"),
-    }
-}
-
-/// The configuration's field for a section of a patch.
-fn section_field(section: &str) -> Option<&'static str> {
-    match section {
-        "docks" | "routes" | "regulations" => Some("docks"),
-        "fleets" | "services" => Some("fleets"),
-        "patrons" | "tenants" => Some("patrons"),
-        _ => None,
-    }
-}
-
-fn remove_items(config: &mut Object, section: &str, names: &[Value]) -> Result<(), InvalidConfig> {
-    let removed: BTreeSet<String> = names
-        .iter()
-        .map(|name| match name {
-            Value::String(name) => Ok(name.clone()),
-            other => string_field(other, "name")
-                .ok_or_else(|| InvalidConfig(format!("withdraw.{section} holds something without a name"))),
-        })
-        .collect::<Result<_, _>>()?;
-    let keep =
-        |item: &Value, field: &str| string_field(item, field).is_none_or(|name| !removed.contains(&name));
-    match section_field(section) {
-        Some("docks") => {
-            let hosts = list_field(config, "docks");
-            for host in hosts.iter_mut() {
-                if let Value::Object(host) = host {
-                    list_field(host, "regulations").retain(|route| keep(route, "name"));
-                }
-            }
-            hosts.retain(|host| keep(host, "depot"));
-        }
-        Some(field) => list_field(config, field).retain(|item| keep(item, "name")),
-        None => return invalid(format!("withdraw.{section} is unknown")),
-    }
-    Ok(())
-}
-
-/// Replaces the item that has the same value in this field, or appends the item.
-fn upsert(items: &mut Array, item: Value, field: &str) -> Result<(), InvalidConfig> {
-    let Some(name) = string_field(&item, field) else { return invalid(format!("an item without {field}")) };
-    match items.iter_mut().find(|other| string_field(other, field).as_ref() == Some(&name)) {
-        Some(existing) => *existing = item,
-        None => items.push(item),
-    }
-    Ok(())
-}
-
-fn upsert_items(config: &mut Object, section: &str, items: Value) -> Result<(), InvalidConfig> {
-    if section == "limits" {
-        config.insert("limits".into(), items);
-        return Ok(());
-    }
-    let Value::Array(items) = items else { return invalid(format!("deliver.{section} is no list")) };
-    match section_field(section) {
-        Some("docks") => {
-            for host in items {
-                let Value::Object(mut host) = host else { return invalid("deliver.docks holds no object") };
-                let Some(Value::String(host_name)) = host.get("depot").cloned() else {
-                    return invalid("deliver.docks: an item without depot");
-                };
-                let routes = std::mem::take(list_field(&mut host, "regulations"));
-                let hosts = list_field(config, "docks");
-                for route in routes {
-                    upsert_route(hosts, &host_name, route)?;
-                }
-            }
-        }
-        Some(field) => {
-            let existing = list_field(config, field);
-            items.into_iter().try_for_each(|item| upsert(existing, item, "name"))?;
-        }
-        None => return invalid(format!("deliver.{section} is unknown")),
-    }
-    Ok(())
-}
-
-/// Replaces or adds a route at this host, and removes the route of that name from other hosts.
-fn upsert_route(hosts: &mut Array, host_name: &str, route: Value) -> Result<(), InvalidConfig> {
-    let Some(name) = string_field(&route, "name") else { return invalid("a route without a name") };
-    for host in hosts.iter_mut().filter(|host| string_field(host, "depot").as_deref() != Some(host_name)) {
-        if let Value::Object(host) = host {
-            list_field(host, "regulations")
-                .retain(|other| string_field(other, "name").as_ref() != Some(&name));
-        }
-    }
-    let index = hosts.iter().position(|host| string_field(host, "depot").as_deref() == Some(host_name));
-    let index = index.unwrap_or_else(|| {
-        let mut host = Object::new();
-        host.insert("depot".into(), Value::String(host_name.to_owned()));
-        hosts.push(Value::Object(host));
-        hosts.len() - 1
-    });
-    match &mut hosts[index] {
-        Value::Object(host) => upsert(list_field(host, "regulations"), route, "name"),
-        _ => invalid("docks holds no object"),
-    }
-}
--- a/system/tests/config.rs
+++ b/system/tests/config.rs
@@ -105,3 +105,38 @@
     assert!(apply_patch(r#"{"edition":"r9","based_on":"r7","withdraw":{"things":["s3"]}}"#).is_err());
     assert!(apply_patch(r#"{"edition":"r9","based_on":"r7","deliver":{"docks":[7]}}"#).is_err());
 }
+
+/// Guards against a patch that is acknowledged although a part of it was not read, and so changes nothing.
+#[test]
+fn patches_that_cannot_be_read_whole_are_rejected() {
+    let patch = |fields: &str| format!(r#"{{"edition":"r9","based_on":"r7",{fields}}}"#);
+    for (fields, expected) in [
+        (r#""deliver":[{"patrons":[{"name":"t2","stamps":["k4"]}]}]"#, "deliver"),
+        (r#""deliver":"patrons""#, "deliver"),
+        (r#""deliver":7"#, "deliver"),
+        (r#""deliver":false"#, "deliver"),
+        (r#""withdraw":"r-1""#, "withdraw"),
+        (r#""withdraw":["r-1"]"#, "withdraw"),
+        (r#""withdraw":{"routes":"r-1"}"#, "withdraw.routes"),
+        (r#""withdraw":{"routes":[7]}"#, "withdraw.routes"),
+        (r#""deliver":{"patrons":{"name":"t2","stamps":["k4"]}}"#, "deliver.patrons"),
+        (r#""deliver":{"docks":[{"depot":"a.example","regulations":{"name":"r-1"}}]}"#, "regulations"),
+        (r#""deliver":{"docks":[{"depot":"a.example","rules":[]}]}"#, "regulations"),
+        (r#""deliver":{"docks":[{"regulations":[]}]}"#, "depot"),
+        // A member that belongs to a whole configuration.
+        (r#""patrons":[{"name":"t2","stamps":["k4"]}]"#, "patrons"),
+        (r#""delivers":{"patrons":[{"name":"t2","stamps":["k4"]}]}"#, "delivers"),
+    ] {
+        let error = apply_patch(&patch(fields)).map(|(_, text)| text).expect_err(fields);
+        assert!(error.contains(expected), "{fields}: {error}");
+    }
+    for nothing in [r#""deliver":null,"withdraw":null"#, r#""deliver":{},"withdraw":{}"#] {
+        let (config, _) = apply_patch(&patch(nothing)).expect("valid");
+        assert_eq!(config.number(), Ok(9));
+    }
+    // All of a host is read: a host without routes, and fields that are not known here.
+    let host = r#""deliver":{"docks":[{"depot":"c.example","regulations":[],"note":"new"}]}"#;
+    let (config, text) = apply_patch(&patch(host)).expect("valid");
+    assert_eq!(config.hosts.last().map(|host| host.name.as_str()), Some("c.example"));
+    assert!(text.contains(r#""note":"new""#));
+}
