A patch finds items by an index, and reads are answered with the stored text

Cause: for each route of a patch all routes of the configuration were looked through, twice, and each name copied; a read parsed and wrote the whole text. The leader has one thread and a lease of 550 ms.

Change: hosts, routes and other items are indexed by name once a patch. The answer to a read is the stored text.

--- a/system/src/api.rs
+++ b/system/src/api.rs
@@ -86,6 +86,27 @@
     }
 }
 
+/// The body of a response.
+pub trait JsonBody {
+    /// Its JSON text.
+    fn to_json(&self) -> String;
+}
+
+impl<T: Serialize> JsonBody for T {
+    fn to_json(&self) -> String {
+        miniserde::json::to_string(self)
+    }
+}
+
+/// A body that is JSON text already.
+pub struct JsonText(pub String);
+
+impl JsonBody for JsonText {
+    fn to_json(&self) -> String {
+        self.0.clone()
+    }
+}
+
 /// A kind of API call: the request, as parsed.
 pub trait Call: Sized {
     /// Its name in the path, after `/api/`.
@@ -95,7 +116,7 @@
     /// Whether only the leader may answer it.
     const LEADER_ONLY: bool;
     /// The body of a successful response.
-    type Response: Serialize;
+    type Response: JsonBody;
 
     /// Parses a request; `arg` is the part of the path after the name.
     fn parse(arg: &str, query: &str, request: &CallRequest) -> Result<Self, Refusal>;
@@ -152,11 +173,8 @@
         return Dispatched::Replied(Refusal::Unavailable.reply());
     }
     let query = request.path.split_once('?').map_or("", |(_, query)| query);
-    let success = |response: &C::Response| Reply {
-        status: 200,
-        body: miniserde::json::to_string(response),
-        retry_after_ms: None,
-    };
+    let success =
+        |response: &C::Response| Reply { status: 200, body: response.to_json(), retry_after_ms: None };
     match C::parse(arg, query, request).and_then(|call| handler.answer(now, call)) {
         Ok(Outcome::Ready(response)) => Dispatched::Replied(success(&response)),
         Ok(Outcome::Pending(response, wait)) => Dispatched::Pending(success(&response), wait),
@@ -368,7 +386,7 @@
     const NAME: &'static str = "Config.Get";
     const METHOD: &'static str = "GET";
     const LEADER_ONLY: bool = true;
-    type Response = miniserde::json::Value;
+    type Response = JsonText;
 
     fn parse(_: &str, _: &str, _: &CallRequest) -> Result<Self, Refusal> {
         Ok(Get)
--- a/system/src/config/patch.rs
+++ b/system/src/config/patch.rs
@@ -3,7 +3,7 @@
 
 use super::{invalid, InvalidConfig};
 use miniserde::json::{Array, Object, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
 /// A list of items in a configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,6 +109,7 @@
     let name = |item: Value| match item {
         Value::String(name) => Ok(name),
         other => string_field(&other, "name")
+            .map(str::to_owned)
             .ok_or_else(|| InvalidConfig(format!("withdraw.{section} holds something without a name"))),
     };
     Ok(Withdrawal { list, names: names.into_iter().map(name).collect::<Result<_, _>>()? })
@@ -143,7 +144,7 @@
 impl Withdrawal {
     fn apply_to(&self, config: &mut Object) {
         let keep = |item: &Value, field: &str| {
-            string_field(item, field).is_none_or(|name| !self.names.contains(&name))
+            string_field(item, field).is_none_or(|name| !self.names.contains(name))
         };
         let items = list_field(config, self.list.field());
         if self.list != ItemList::Hosts {
@@ -166,67 +167,121 @@
                 Ok(())
             }
             Delivery::Hosts(hosts) => {
-                let existing = list_field(config, ItemList::Hosts.field());
-                hosts.into_iter().try_for_each(|host| host.apply_to(existing))
-            }
-            Delivery::Items(list, items) => {
-                let existing = list_field(config, list.field());
-                items.into_iter().try_for_each(|item| upsert(existing, item, "name"))
+                let mut index = HostIndex::new(list_field(config, ItemList::Hosts.field()));
+                hosts.into_iter().try_for_each(|host| index.deliver(host))?;
+                index.finish();
+                Ok(())
             }
+            Delivery::Items(list, items) => upsert_all(list_field(config, list.field()), items),
         }
     }
 }
 
-impl HostDelivery {
-    fn apply_to(self, hosts: &mut Array) -> Result<(), InvalidConfig> {
-        let host = host_entry(hosts, &self.name)?;
-        host.extend(self.other_fields);
-        self.routes.into_iter().try_for_each(|route| upsert_route(hosts, &self.name, route))
-    }
+/// Hosts and their routes by name, while a patch is applied to them. Each item of the patch is found without a search.
+struct HostIndex<'a> {
+    hosts: &'a mut Array,
+    /// Positions of the hosts.
+    by_name: HashMap<String, usize>,
+    /// Host and position of each route.
+    routes: HashMap<String, (usize, usize)>,
+    /// Hosts from which a route was moved to another one, with null in its place.
+    with_gaps: BTreeSet<usize>,
 }
 
-/// The host of this name, which is added if there is none.
-fn host_entry<'a>(hosts: &'a mut Array, name: &str) -> Result<&'a mut Object, InvalidConfig> {
-    let index = hosts.iter().position(|host| string_field(host, "depot").as_deref() == Some(name));
-    let index = index.unwrap_or_else(|| {
-        let mut host = Object::new();
-        host.insert("depot".into(), Value::String(name.to_owned()));
-        host.insert("regulations".into(), Value::Array(Array::new()));
-        hosts.push(Value::Object(host));
-        hosts.len() - 1
-    });
-    match &mut hosts[index] {
-        Value::Object(host) => Ok(host),
-        _ => invalid("docks holds no object"),
+impl<'a> HostIndex<'a> {
+    fn new(hosts: &'a mut Array) -> Self {
+        let (mut by_name, mut routes) = (HashMap::new(), HashMap::new());
+        for (host_index, host) in hosts.iter_mut().enumerate() {
+            if let Some(name) = string_field(host, "depot") {
+                by_name.entry(name.to_owned()).or_insert(host_index);
+            }
+            let Value::Object(host) = host else { continue };
+            for (position, route) in list_field(host, "regulations").iter().enumerate() {
+                let name = string_field(route, "name");
+                routes.extend(name.map(|name| (name.to_owned(), (host_index, position))));
+            }
+        }
+        HostIndex { hosts, by_name, routes, with_gaps: BTreeSet::new() }
     }
-}
 
-/// Replaces or adds a route at this host, and removes the route of that name from other hosts.
-fn upsert_route(hosts: &mut Array, host_name: &str, route: Value) -> Result<(), InvalidConfig> {
-    let Some(name) = string_field(&route, "name") else { return invalid("a route without a name") };
-    for host in hosts.iter_mut().filter(|host| string_field(host, "depot").as_deref() != Some(host_name)) {
-        if let Value::Object(host) = host {
-            list_field(host, "regulations")
-                .retain(|other| string_field(other, "name").as_ref() != Some(&name));
+    /// Adds a host, or what the delivery changes of it.
+    fn deliver(&mut self, delivery: HostDelivery) -> Result<(), InvalidConfig> {
+        let HostDelivery { name, routes, other_fields } = delivery;
+        let host_index = *self.by_name.entry(name).or_insert_with_key(|name| {
+            let mut host = Object::new();
+            host.insert("depot".into(), Value::String(name.clone()));
+            self.hosts.push(Value::Object(host));
+            self.hosts.len() - 1
+        });
+        let Value::Object(host) = &mut self.hosts[host_index] else {
+            return invalid("docks holds no object");
+        };
+        host.extend(other_fields);
+        list_field(host, "regulations");
+        routes.into_iter().try_for_each(|route| self.upsert_route(host_index, route))
+    }
+
+    /// Replaces or adds a route at this host, and removes the route of that name from another one.
+    fn upsert_route(&mut self, host_index: usize, route: Value) -> Result<(), InvalidConfig> {
+        let Some(name) = string_field(&route, "name").map(str::to_owned) else {
+            return invalid("a route without a name");
+        };
+        match self.routes.get(&name) {
+            Some((known_host, position)) if *known_host == host_index => {
+                let position = *position;
+                self.routes_of(host_index)[position] = route;
+            }
+            known => {
+                if let Some((known_host, position)) = known.copied() {
+                    self.routes_of(known_host)[position] = Value::Null;
+                    self.with_gaps.insert(known_host);
+                }
+                let routes = self.routes_of(host_index);
+                routes.push(route);
+                let position = routes.len() - 1;
+                self.routes.insert(name, (host_index, position));
+            }
+        }
+        Ok(())
+    }
+
+    fn routes_of(&mut self, host_index: usize) -> &mut Array {
+        match &mut self.hosts[host_index] {
+            Value::Object(host) => list_field(host, "regulations"),
+            _ => unreachable!("only routes of objects are indexed"),
+        }
+    }
+
+    /// Closes the gaps of routes that were moved.
+    fn finish(mut self) {
+        for host_index in std::mem::take(&mut self.with_gaps) {
+            self.routes_of(host_index).retain(|route| !matches!(route, Value::Null));
         }
     }
-    upsert(list_field(host_entry(hosts, host_name)?, "regulations"), route, "name")
 }
 
-/// Replaces the item that has the same value in this field, or appends the item.
-fn upsert(items: &mut Array, item: Value, field: &str) -> Result<(), InvalidConfig> {
-    let Some(name) = string_field(&item, field) else { return invalid(format!("an item without {field}")) };
-    match items.iter_mut().find(|other| string_field(other, field).as_ref() == Some(&name)) {
-        Some(existing) => *existing = item,
-        None => items.push(item),
+/// Replaces the items that have the same name as one of these, and appends the others.
+fn upsert_all(existing: &mut Array, items: Array) -> Result<(), InvalidConfig> {
+    let names = existing.iter().enumerate();
+    let mut positions: HashMap<String, usize> =
+        names.filter_map(|(index, item)| Some((string_field(item, "name")?.to_owned(), index))).collect();
+    for item in items {
+        let Some(name) = string_field(&item, "name") else { return invalid("an item without name") };
+        match positions.get(name) {
+            Some(index) => existing[*index] = item,
+            None => {
+                positions.insert(name.to_owned(), existing.len());
+                existing.push(item);
+            }
+        }
     }
     Ok(())
 }
 
-fn string_field(value: &Value, field: &str) -> Option<String> {
+fn string_field<'a>(value: &'a Value, field: &str) -> Option<&'a str> {
     match value {
         Value::Object(object) => match object.get(field) {
-            Some(Value::String(text)) => Some(text.clone()),
+            Some(Value::String(text)) => Some(text),
             _ => None,
         },
         _ => None,
--- a/system/src/member/operator_calls.rs
+++ b/system/src/member/operator_calls.rs
@@ -13,7 +13,7 @@
 
 use super::{Action, CallResult, Caller, Member, RaftInput, Stage, Wait};
 use crate::api::{
-    Answers, ConfigUpdate, Done, EndEvacuation, Get, Outcome, Patch, Put, Refusal, StartEvacuation,
+    Answers, ConfigUpdate, Done, EndEvacuation, Get, JsonText, Outcome, Patch, Put, Refusal, StartEvacuation,
 };
 use crate::config::{full_config_digest, ConfigDocument};
 use crate::delta::Delta;
@@ -87,11 +87,10 @@
 }
 
 impl Answers<Get> for Member {
-    fn answer(&mut self, now: Millis, _: Get) -> CallResult<miniserde::json::Value> {
+    fn answer(&mut self, now: Millis, _: Get) -> CallResult<JsonText> {
         let authoritative = self.is_authoritative(now);
         let config = self.state.config.as_ref().filter(|_| authoritative).ok_or(Refusal::Unavailable)?;
-        let value = miniserde::json::from_str(&config.text).map_err(|_| Refusal::Unavailable)?;
-        Ok(Outcome::Ready(value))
+        Ok(Outcome::Ready(JsonText(config.text.clone())))
     }
 }
 
--- a/system/tests/config.rs
+++ b/system/tests/config.rs
@@ -140,3 +140,97 @@
     assert_eq!(config.hosts.last().map(|host| host.name.as_str()), Some("c.example"));
     assert!(text.contains(r#""note":"new""#));
 }
+
+/// Hosts with their routes, each with its name and path prefix, in order.
+type HostModel = Vec<(String, Vec<(String, String)>)>;
+
+/// Adds or replaces a route in the model: at its position if the host has it, else at the host's end.
+fn deliver_to_model(model: &mut HostModel, host: &str, route: (String, String)) {
+    for (_, routes) in model.iter_mut().filter(|(name, _)| name != host) {
+        routes.retain(|(name, _)| *name != route.0);
+    }
+    let index = model.iter().position(|(name, _)| name == host).unwrap_or_else(|| {
+        model.push((host.to_owned(), Vec::new()));
+        model.len() - 1
+    });
+    let routes = &mut model[index].1;
+    match routes.iter_mut().find(|(name, _)| *name == route.0) {
+        Some(existing) => *existing = route,
+        None => routes.push(route),
+    }
+}
+
+/// Guards against routes that are lost, doubled or moved to a wrong place by a patch with many of them.
+#[test]
+fn drawn_patches_of_routes_give_what_a_plain_model_gives() {
+    bolero::check!().with_iterations(200).with_type::<u64>().for_each(|seed| {
+        let mut rng = fastrand::Rng::with_seed(*seed);
+        let (_, mut text) = parse(FULL_CONFIG).expect("valid");
+        let mut model: HostModel = vec![
+            ("a.example".into(), vec![("r-1".into(), "/x/".into())]),
+            ("b.example".into(), vec![("r-2".into(), "/y/".into())]),
+        ];
+        for version in 8..16 {
+            let (mut hosts, mut prefix) = (Vec::new(), 0);
+            for _ in 0..rng.usize(0..4) {
+                let host = ["a.example", "b.example", "c.example", "d.example"][rng.usize(0..4)];
+                if !model.iter().any(|(name, _)| name == host) {
+                    model.push((host.to_owned(), Vec::new()));
+                }
+                let mut routes = Vec::new();
+                for _ in 0..rng.usize(0..5) {
+                    let (name, path) = (format!("r-{}", rng.u32(0..8)), format!("/{version}-{prefix}/"));
+                    prefix += 1;
+                    routes.push(format!(
+                        r#"{{"name":"{name}","kind":"safe","target":"1s","sorting":{{"lane_prefix":"{path}"}},"dispatch":{{"service":"s1","timeout":"2s"}}}}"#
+                    ));
+                    deliver_to_model(&mut model, host, (name, path));
+                }
+                hosts.push(format!(r#"{{"depot":"{host}","regulations":[{}]}}"#, routes.join(",")));
+            }
+            let patch = format!(
+                r#"{{"edition":"r{version}","based_on":"r7","deliver":{{"docks":[{}]}}}}"#,
+                hosts.join(",")
+            );
+            let document = ConfigDocument::read(patch.as_bytes()).expect("well-formed");
+            let (config, patched) = document.apply_to(&text).expect("valid");
+            text = patched;
+            let hosts = config.hosts.into_iter().map(|host| {
+                let routes = host.routes.into_iter().map(|route| (route.name, route.matcher.path_prefix));
+                (host.name, routes.collect())
+            });
+            assert_eq!(hosts.collect::<HostModel>(), model);
+        }
+    });
+}
+
+/// A patch that adds routes to a configuration, each at a host of its own.
+fn routes_patch(numbers: std::ops::Range<usize>) -> ConfigDocument {
+    let hosts: Vec<_> = numbers
+        .map(|number| {
+            format!(
+                r#"{{"depot":"h{number}.example","regulations":[{{"name":"r-new-{number}","kind":"safe","target":"1s","sorting":{{"lane_prefix":"/x/"}},"dispatch":{{"service":"s1","timeout":"2s"}}}}]}}"#
+            )
+        })
+        .collect();
+    let patch = format!(r#"{{"edition":"r9","based_on":"r7","deliver":{{"docks":[{}]}}}}"#, hosts.join(","));
+    ConfigDocument::read(patch.as_bytes()).expect("well-formed")
+}
+
+/// Guards against a patch that keeps the core busy for as long as it has items times those of the configuration.
+#[test]
+fn a_patch_of_many_routes_costs_little_more_than_one_of_a_single_route() {
+    let (_, small) = parse(FULL_CONFIG).expect("valid");
+    let (_, large) = routes_patch(0..4_000).apply_to(&small).expect("valid");
+    let shortest = |count: usize| {
+        let patch = routes_patch(4_000..4_000 + count);
+        let time = || {
+            let start = std::time::Instant::now();
+            drop(patch.clone().apply_to(&large).expect("valid"));
+            start.elapsed()
+        };
+        (0..5).map(|_| time()).min().expect("five runs")
+    };
+    let (one, many) = (shortest(1), shortest(400));
+    assert!(many < 3 * one, "one route takes {one:?}, 400 take {many:?}");
+}
